--- /dev/null
+++ b/selector/selector_test.go
@@ -0,0 +1,49 @@
+package selector
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against selectors that match the wrong backend servers.
+func TestMatches(t *testing.T) {
+	labels := Labels{"service": "catalogue", "tier": "stable", "rack": "b"}
+	cases := []struct {
+		text string
+		want bool
+	}{
+		{"", true},
+		{"service=catalogue", true},
+		{"service=orders", false},
+		{"service=catalogue,tier!=canary", true},
+		{"rack in (a, b)", true},
+		{"rack notin (a,b)", false},
+		{"zone notin (a)", true},
+		{"zone!=a", true},
+		{"tier", true},
+		{"!tier", false},
+		{"!draining", true},
+		{"zone=a", false},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			s, err := Parse(c.text)
+			must.NoError(t, err)
+			must.Eq(t, c.want, s.Matches(labels))
+			again, err := Parse(s.String())
+			must.NoError(t, err)
+			must.Eq(t, s.String(), again.String())
+		})
+	}
+}
+
+// Guards against a mistyped selector that silently matches everything.
+func TestParseRejects(t *testing.T) {
+	for _, text := range []string{",", "a=b,", "a in b", "a=", "=b", "a b", "a in (b,)"} {
+		_, err := Parse(text)
+		var syntax *SyntaxError
+		must.True(t, errors.As(err, &syntax), must.Sprintf("text %q", text))
+	}
+}
