--- a/config/config.go
+++ b/config/config.go
@@ -5,7 +5,6 @@
 package config
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"time"
@@ -173,17 +172,11 @@
 	QueueWait Duration `json:"queue_wait,omitempty"`
 	// MaxUtilization is the share of a server's slots that may be used, 0 to 1.
 	MaxUtilization float64 `json:"max_utilization,omitempty"`
-	// LatencyWeight and RefusalWeight say what the users value more. They are
-	// relative to each other.
-	LatencyWeight float64 `json:"latency_weight,omitempty"`
-	RefusalWeight float64 `json:"refusal_weight,omitempty"`
-}
-
-// Marshal returns the canonical JSON form of the document.
-func (d *Document) Marshal() ([]byte, error) {
-	data, err := json.Marshal(d)
-	if err != nil {
-		return nil, fmt.Errorf("encode configuration: %w", err)
-	}
-	return data, nil
+	// The weights say what the users value more. They are relative to each
+	// other, and each belongs to one measured objective.
+	LatencyWeight       float64 `json:"latency_weight,omitempty"`
+	HeadroomWeight      float64 `json:"headroom_weight,omitempty"`
+	DrainTimeWeight     float64 `json:"drain_time_weight,omitempty"`
+	RefusalWeight       float64 `json:"refusal_weight,omitempty"`
+	WorstCustomerWeight float64 `json:"worst_customer_weight,omitempty"`
 }
