Add the HTTP data path, peer exchange and the platform's HTTP interface

Cause: the thin whole path needs a forwarder, a way for entry instances to talk to each other, and a platform that a separate process can reach.

Change: forward authorizes, limits, admits, claims, picks, sends and responds behind narrow interfaces. Non-idempotent work goes over a fresh connection, because net/http repeats a request with an Idempotency-Key by itself when a reused connection fails. peer exchanges digests and announcements over gRPC with reloadable certificates. platform/httpclient and httpserver carry the platform interface over HTTP/JSON.

Ruled out: marking a streamed body as unreplayable alone; a POST without a body is still replayed by net/http. Trusting ages in digests that a peer sends on its own; such a message may have been delayed for any time, so only replies carry ages that count.

Each test was seen to fail with the code broken on purpose: pooled connections for orders (3 runs in place of 2), the key header kept, "not run" after bytes were sent, no second key check, and no abort after a truncated chunked body. The last one first survived the mutation with a Content-Length response, since net/http breaks such a connection itself; the chunked case was added.

--- /dev/null
+++ b/forward/fakes_test.go
@@ -0,0 +1,146 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+const testKey = "jr_id_secret"
+
+// fakeServices implements the interfaces of the data path with switches.
+type fakeServices struct {
+	mu         sync.Mutex
+	withdrawn  bool
+	limited    bool
+	mayStart   bool
+	retries    int // left in the budget
+	servers    []*config.BackendServer
+	onPick     func()
+	results    []Result
+	stored     *StoredResponse
+	released   int
+	completed  []StoredResponse
+	claimError *problem.Document
+}
+
+func (f *fakeServices) Authorize(presented string, route *config.Route) (string, *problem.Document) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if presented != testKey || f.withdrawn {
+		return "", problem.New(problem.TypeKeyInvalid, http.StatusForbidden, problem.RanNo, "the key is not valid for route %q", route.Name)
+	}
+	return "acme", nil
+}
+
+func (f *fakeServices) Allow(string) (bool, time.Duration) { return !f.limited, time.Second }
+
+func (f *fakeServices) Acquire(context.Context, string, float64) (func(), *problem.Document) {
+	return func() {}, nil
+}
+
+func (f *fakeServices) Pick(_ context.Context, call Call) (*Pick, *problem.Document) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.onPick != nil {
+		f.onPick()
+	}
+	if call.Attempt >= len(f.servers) {
+		return nil, problem.New(problem.TypeNoServer, http.StatusServiceUnavailable, problem.RanNo, "no server")
+	}
+	return &Pick{Server: f.servers[call.Attempt], Done: f.record}, nil
+}
+
+func (f *fakeServices) record(r Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.results = append(f.results, r)
+}
+
+func (f *fakeServices) recorded() []Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.results)
+}
+
+func (f *fakeServices) AllowRetry(string, string) bool {
+	f.retries--
+	return f.retries >= 0
+}
+
+func (f *fakeServices) RecordRequest(string, string) {}
+
+func (f *fakeServices) Begin(context.Context, ClaimRequest) (Claim, *StoredResponse, *problem.Document) {
+	return f, f.stored, f.claimError
+}
+
+func (f *fakeServices) MayStart() bool          { return f.mayStart }
+func (f *fakeServices) MarkSent()               {}
+func (f *fakeServices) Release(context.Context) { f.released++ }
+func (f *fakeServices) Complete(_ context.Context, r StoredResponse) {
+	f.completed = append(f.completed, r)
+}
+
+// rig is a data path in front of real HTTP servers on the loopback interface.
+type rig struct {
+	*fakeServices
+	url string
+}
+
+func newRig(t *testing.T, backends ...http.HandlerFunc) *rig {
+	t.Helper()
+	f := &fakeServices{mayStart: true, retries: 10}
+	for _, handler := range backends {
+		backend := httptest.NewServer(handler)
+		t.Cleanup(backend.Close)
+		f.addServer(backend.Listener.Addr().String())
+	}
+	index := config.NewIndex(&config.Document{
+		Routes: []config.Route{
+			{Name: "check", Service: "s", Methods: []string{"GET", "PUT"}, Idempotent: true, Access: config.AccessKeyed, Deadline: config.Duration(5 * time.Second)},
+			{Name: "order", Service: "s", Methods: []string{"POST"}, Access: config.AccessKeyed, Deadline: config.Duration(5 * time.Second)},
+			{Name: "open", Service: "s", Methods: []string{"GET"}, Idempotent: true, Access: config.AccessOpen, Deadline: config.Duration(5 * time.Second)},
+		},
+	})
+	transport := NewTransport()
+	t.Cleanup(transport.Close)
+	handler := New(Options{
+		Config:     func() *config.Index { return index },
+		Authorizer: f,
+		Limiter:    f,
+		Admission:  f,
+		Balancer:   f,
+		Claims:     f,
+		Transport:  transport,
+		Metrics:    NewMetrics(prometheus.NewRegistry()),
+		Log:        slog.New(slog.DiscardHandler),
+	})
+	front := httptest.NewServer(handler)
+	t.Cleanup(front.Close)
+	return &rig{fakeServices: f, url: front.URL}
+}
+
+func (f *fakeServices) addServer(address string) {
+	f.servers = append(f.servers, &config.BackendServer{Name: address, Address: address})
+}
+
+// request returns a keyed request.
+func (r *rig) request(t *testing.T, method, path, body string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, r.url+path, strings.NewReader(body))
+	must.NoError(t, err)
+	req.Header.Set(HeaderKey, testKey)
+	return req
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,161 @@
+// Package forward is the HTTP data path of an entry instance: it authenticates a
+// request, holds its customer to its rate, waits for room, picks a backend
+// server, sends the request and returns the whole response.
+//
+// The decisions themselves are made by the services behind the interfaces in
+// this file. The package holds no steering policy of its own.
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// Request headers.
+const (
+	HeaderKey            = "Jacinthrack-Key"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderTimeout        = "Jacinthrack-Timeout" // milliseconds left
+	HeaderRequestID      = "Jacinthrack-Request-Id"
+)
+
+// PathPrefix precedes the route name in a request path.
+const PathPrefix = "/r/"
+
+// Bounds of the data path.
+const (
+	// MaxAttempts bounds the attempts for one request, the first one included.
+	MaxAttempts = 3
+	// BufferBytes is the memory that a streamed request or response may hold in
+	// each direction.
+	BufferBytes = 64 << 10
+	// MaxClaimedBodyBytes bounds the body of a non-idempotent request, which is
+	// held in memory to compute its digest.
+	MaxClaimedBodyBytes = 1 << 20
+	// MaxClaimedResponseBytes bounds the stored response of a non-idempotent request.
+	MaxClaimedResponseBytes = 4 << 20
+	// StallTimeout is the longest time without progress in an upload.
+	StallTimeout = 10 * time.Second
+	// RecordTimeout bounds the wait for the outcome of a claim to be stored
+	// before the response is returned. Recording goes on in the background.
+	RecordTimeout = time.Second
+)
+
+// Authorizer checks keys.
+type Authorizer interface {
+	// Authorize returns the customer that owns the presented key, if the key
+	// may use the route now. Its errors never contain the key.
+	Authorize(presented string, route *config.Route) (customer string, refusal *problem.Document)
+}
+
+// RateLimiter holds customers to their fleet-wide rates.
+type RateLimiter interface {
+	// Allow reports whether one more request is within the customer's rate, or
+	// the time after which it can be.
+	Allow(customer string) (ok bool, retryAfter time.Duration)
+}
+
+// Admission bounds the work in progress and shares it fairly between customers.
+type Admission interface {
+	// Acquire waits for room. release must be called once.
+	Acquire(ctx context.Context, customer string, weight float64) (release func(), refusal *problem.Document)
+}
+
+// Call describes one attempt to the Balancer.
+type Call struct {
+	RequestID   string
+	Customer    string
+	Route       *config.Route
+	Fingerprint uint64
+	Attempt     int      // from 0
+	Exclude     []string // servers that earlier attempts used
+	BodyBytes   int64    // -1 when unknown
+}
+
+// Result tells the Balancer how an attempt ended.
+type Result struct {
+	Sent    bool // bytes may have reached the server
+	Status  int  // 0 without a response
+	Err     error
+	Close   bool // the server announced that it closes the connection
+	Latency time.Duration
+}
+
+// Pick is a chosen backend server.
+type Pick struct {
+	Server *config.BackendServer
+	Reason string
+	// Done must be called once with the result of the attempt.
+	Done func(Result)
+}
+
+// Balancer picks backend servers.
+type Balancer interface {
+	// Pick chooses a server. Its refusals mean that the attempt did not run.
+	Pick(ctx context.Context, call Call) (*Pick, *problem.Document)
+	// AllowRetry reports whether the retry budget admits another attempt.
+	AllowRetry(customer, service string) bool
+	// RecordRequest feeds the retry budget with a first attempt.
+	RecordRequest(customer, service string)
+}
+
+// ClaimRequest identifies one piece of non-idempotent work.
+type ClaimRequest struct {
+	Customer       string
+	Route          string
+	IdempotencyKey string
+	Method         string
+	Path           string
+	Body           []byte
+}
+
+// StoredResponse is the recorded response of non-idempotent work.
+type StoredResponse struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Claim is the right to run one piece of non-idempotent work.
+type Claim interface {
+	// MayStart reports whether the work may still be sent. It must be called
+	// just before the first byte.
+	MayStart() bool
+	// MarkSent records that bytes may have reached a backend server.
+	MarkSent()
+	// Release gives the claim up. It may be called only if nothing was sent.
+	Release(ctx context.Context)
+	// Complete stores the response.
+	Complete(ctx context.Context, resp StoredResponse)
+}
+
+// Claimer records non-idempotent work before it runs.
+type Claimer interface {
+	// Begin claims the work. It returns a claim, the stored response of an
+	// earlier run, or a refusal.
+	Begin(ctx context.Context, req ClaimRequest) (Claim, *StoredResponse, *problem.Document)
+}
+
+// Options are the dependencies of a Handler.
+type Options struct {
+	Config     func() *config.Index // nil while no configuration is in force
+	Authorizer Authorizer
+	Limiter    RateLimiter
+	Admission  Admission
+	Balancer   Balancer
+	Claims     Claimer
+	Transport  *Transport
+	Metrics    *Metrics
+	Log        *slog.Logger
+}
+
+// Handler serves requests under PathPrefix.
+type Handler struct{ Options }
+
+// New returns a handler.
+func New(o Options) *Handler { return &Handler{Options: o} }
--- /dev/null
+++ b/forward/metrics.go
@@ -0,0 +1,41 @@
+package forward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts requests. Its labels take values from the configuration, so
+// their number is bounded.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics of the data path.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "jacinthrack_requests_total",
+			Help: "Requests by route, status and, for refusals, problem type.",
+		}, []string{"route", "status", "problem"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "jacinthrack_request_duration_seconds",
+			Help:    "Time from the arrival of a request to the end of its response.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18),
+		}, []string{"route"}),
+	}
+	registry.MustRegister(m.requests, m.latency)
+	return m
+}
+
+func (m *Metrics) observe(x *exchange, status int, problemType string, took time.Duration) {
+	route := "unknown"
+	if x.route != nil {
+		route = x.route.Name
+	}
+	m.requests.WithLabelValues(route, strconv.Itoa(status), problemType).Inc()
+	m.latency.WithLabelValues(route).Observe(took.Seconds())
+}
--- /dev/null
+++ b/forward/try.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// failure is a failed attempt.
+type failure struct {
+	problem *problem.Document
+	// retriable says that another server may succeed. It does not say that a
+	// second attempt is safe.
+	retriable bool
+}
+
+// reply is the response to a successful attempt. Its first bytes, or all of
+// them, are held in memory.
+type reply struct {
+	server string
+	resp   *http.Response
+	held   []byte
+	whole  bool // held is the entire body
+	finish func(error)
+}
+
+func (r *reply) status() int { return r.resp.StatusCode }
+
+// try makes attempt n.
+func (h *Handler) try(ctx context.Context, r *http.Request, x *exchange, n int) (*reply, *failure) {
+	if refusal := h.authorize(x); refusal != nil {
+		return nil, &failure{problem: refusal}
+	}
+	pick, refusal := h.Balancer.Pick(ctx, Call{
+		RequestID:   x.id,
+		Customer:    x.customer,
+		Route:       x.route,
+		Fingerprint: x.fingerprint(r),
+		Attempt:     n,
+		Exclude:     x.tried,
+		BodyBytes:   x.body.length,
+	})
+	if refusal != nil {
+		refusal.Ran = x.ran()
+		return nil, &failure{problem: refusal}
+	}
+	x.tried = append(x.tried, pick.Server.Name)
+	if x.claim != nil && !x.claim.MayStart() {
+		pick.Done(Result{})
+		return nil, &failure{problem: problem.New(problem.TypeClaimUnavailable, http.StatusServiceUnavailable, x.ran(), "the claim expired before the request could be sent").WithRetryAfter(time.Second)}
+	}
+	return h.send(ctx, r, x, pick)
+}
+
+// send sends one attempt and reads the start of its response.
+func (h *Handler) send(ctx context.Context, r *http.Request, x *exchange, pick *Pick) (*reply, *failure) {
+	started := time.Now()
+	resp, sent, err := h.Transport.send(ctx, attempt{
+		server:     pick.Server,
+		method:     r.Method,
+		path:       x.path,
+		header:     backendHeader(r.Header, x.id),
+		body:       x.body.reader(),
+		length:     x.body.length,
+		idempotent: x.route.Idempotent,
+		requestID:  x.id,
+	})
+	x.sent = x.sent || sent
+	if sent && x.claim != nil {
+		x.claim.MarkSent()
+	}
+	if err != nil {
+		pick.Done(h.failedResult(ctx, x, sent, err, time.Since(started)))
+		return nil, h.sendFailure(ctx, x, err)
+	}
+	rep := &reply{server: pick.Server.Name, resp: resp}
+	rep.finish = func(err error) {
+		resp.Body.Close()
+		pick.Done(Result{Sent: true, Status: resp.StatusCode, Err: err, Close: resp.Close, Latency: time.Since(started)})
+	}
+	if err := rep.hold(); err != nil {
+		rep.finish(err)
+		return nil, &failure{problem: incomplete(x, err), retriable: true}
+	}
+	if shed := isShed(resp.StatusCode); shed && x.route.Idempotent {
+		rep.finish(nil)
+		return nil, &failure{problem: problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, x.ran(), "the backend server shed the request").WithRetryAfter(time.Second), retriable: true}
+	}
+	if rep.whole {
+		rep.finish(nil)
+	}
+	return rep, nil
+}
+
+// failedResult leaves the caller's own faults out of the evidence against a server.
+func (h *Handler) failedResult(ctx context.Context, x *exchange, sent bool, err error, took time.Duration) Result {
+	if x.body.err() != nil || errors.Is(ctx.Err(), context.Canceled) {
+		return Result{Sent: sent, Latency: took}
+	}
+	return Result{Sent: sent, Err: err, Latency: took}
+}
+
+func (h *Handler) sendFailure(ctx context.Context, x *exchange, err error) *failure {
+	if bodyErr := x.body.err(); bodyErr != nil {
+		return &failure{problem: callerProblem(bodyErr, x.ran())}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &failure{problem: problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, x.ran(), "the deadline passed")}
+	}
+	return &failure{
+		problem:   problem.New(problem.TypeBackendFailed, http.StatusBadGateway, x.ran(), "the backend server failed: %s", describe(err)),
+		retriable: true,
+	}
+}
+
+// describe returns the cause without addresses, which callers must not see.
+func describe(err error) string {
+	var (
+		crossed     *CrossedResponseError
+		undelimited *UndelimitedResponseError
+	)
+	switch {
+	case errors.As(err, &crossed):
+		return "the response belongs to another request"
+	case errors.As(err, &undelimited):
+		return undelimited.Error()
+	case isTimeout(err):
+		return "timeout"
+	default:
+		return "connection failed"
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func isShed(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+func incomplete(x *exchange, err error) *problem.Document {
+	return problem.New(problem.TypeAnswerIncomplete, http.StatusBadGateway, x.ran(), "the response ended early: %v", err)
+}
+
+// hold reads up to BufferBytes of the response, so that a short broken response
+// is found before the caller sees any of it.
+func (r *reply) hold() error {
+	var buf bytes.Buffer
+	_, err := io.CopyN(&buf, r.resp.Body, BufferBytes)
+	r.held = buf.Bytes()
+	if err == io.EOF {
+		r.whole = true
+		return nil
+	}
+	return err
+}
+
+// ResponseTooLargeError reports a response that cannot be stored.
+type ResponseTooLargeError struct{ Max int64 }
+
+func (e *ResponseTooLargeError) Error() string {
+	return fmt.Sprintf("the response is larger than %d bytes", e.Max)
+}
+
+// readAll reads the rest of the response.
+func (r *reply) readAll(limit int64) ([]byte, error) {
+	if r.whole {
+		return r.held, nil
+	}
+	rest, err := io.ReadAll(io.LimitReader(r.resp.Body, limit-int64(len(r.held))+1))
+	if err == nil && int64(len(r.held)+len(rest)) > limit {
+		err = &ResponseTooLargeError{Max: limit}
+	}
+	r.finish(err)
+	return append(r.held, rest...), err
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,80 @@
+// Package peer exchanges digests and announcements between entry instances over
+// gRPC. It is registered with the kernel as the service "peer.grpc".
+//
+// The package moves messages. What they mean is decided by the Knowledge that
+// it is given.
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+)
+
+// ServiceName is the name in the kernel registry.
+const ServiceName = "peer.grpc"
+
+// Exchange schedule.
+const (
+	// ExchangeInterval is the time between rounds of exchanges.
+	ExchangeInterval = time.Second
+	// ZoneFanout is the number of zone peers contacted in a round. Two keep the
+	// control traffic of a zone of 17 instances within 4 KB/s for each instance;
+	// in a smaller zone every peer is contacted in every round.
+	ZoneFanout = 2
+	// ExchangeTimeout bounds one exchange.
+	ExchangeTimeout = 800 * time.Millisecond
+	// AnnounceTimeout bounds one hop of an announcement.
+	AnnounceTimeout = 2 * time.Second
+	// zoneAttempts bounds the instances of another zone that are tried until one
+	// takes an announcement.
+	zoneAttempts = 3
+	// MaxMessageBytes bounds a message: the largest one is a full state.
+	MaxMessageBytes = 32 << 20
+)
+
+// Instance is the address of an entry instance.
+type Instance struct {
+	Name    string
+	Zone    string
+	Address string // IP:port
+}
+
+// Scope says how much of the local knowledge a digest carries.
+type Scope int
+
+// Scopes.
+const (
+	ScopeZone   Scope = iota // the peer is in the same availability zone
+	ScopeRemote              // the peer is in another availability zone
+)
+
+// Knowledge builds and merges the messages between instances. Its methods are
+// called concurrently.
+type Knowledge interface {
+	// Digest returns the local digest.
+	Digest(scope Scope) *peerpb.Digest
+
+	// MergeReply merges the reply to an exchange. Ages in it are at most
+	// roundTrip too low.
+	MergeReply(d *peerpb.Digest, roundTrip time.Duration)
+
+	// MergeRequest merges a digest that a peer sent on its own. Its ages cannot
+	// be trusted, since the message may have been delayed for any time.
+	MergeRequest(d *peerpb.Digest)
+
+	// Announced takes an announcement and reports whether it is in force here.
+	Announced(ctx context.Context, a *peerpb.Announcement) bool
+
+	// Section returns a section of the configuration.
+	Section(sha256 []byte) ([]byte, bool)
+
+	// State returns the full state for a replacement.
+	State() *peerpb.StateReply
+}
+
+// Directory lists the other entry instances, without this one.
+type Directory interface {
+	Instances() []Instance
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+)
+
+// server implements the gRPC service.
+type server struct {
+	peerpb.UnimplementedPeerServer
+	service *Service
+}
+
+// Exchange merges the caller's digest and returns the local one.
+func (s *server) Exchange(_ context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
+	s.service.knowledge.MergeRequest(in)
+	scope := ScopeRemote
+	if in.GetSender().GetZone() == s.service.zone {
+		scope = ScopeZone
+	}
+	return s.service.knowledge.Digest(scope), nil
+}
+
+// Announce takes an announcement and passes it on while it has hops left.
+func (s *server) Announce(ctx context.Context, in *peerpb.Announcement) (*peerpb.AnnounceReply, error) {
+	reply := &peerpb.AnnounceReply{}
+	if s.service.knowledge.Announced(ctx, in) {
+		reply.Confirmed = append(reply.Confirmed, s.service.name)
+	}
+	if in.GetHops() > 0 {
+		reply.Confirmed = append(reply.Confirmed, s.service.announceInZone(ctx, in)...)
+	}
+	return reply, nil
+}
+
+// FetchSection returns a section of the configuration.
+func (s *server) FetchSection(_ context.Context, in *peerpb.FetchSectionRequest) (*peerpb.FetchSectionReply, error) {
+	data, ok := s.service.knowledge.Section(in.GetSha256())
+	if !ok {
+		return nil, status.Errorf(codes.NotFound, "section %x is not held here", in.GetSha256())
+	}
+	return &peerpb.FetchSectionReply{Data: data}, nil
+}
+
+// State returns the full state.
+func (s *server) State(context.Context, *peerpb.StateRequest) (*peerpb.StateReply, error) {
+	return s.service.knowledge.State(), nil
+}
