Add the backend stand-in

Ruled out: http.Server.Shutdown for the silent drain, because it announces "Connection: close" by itself. The listener and idle connections are closed instead.

--- /dev/null
+++ b/cmd/backend-standin/main.go
@@ -0,0 +1,117 @@
+// Command backend-standin plays the backend servers of a configuration document
+// on loopback addresses.
+//
+// Usage: backend-standin [settings.json]
+//
+// Settings are those of the type settings. The control API is described at
+// backend.Fleet.Control.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/standin/backend"
+)
+
+// settings are the JSON settings of the program.
+type settings struct {
+	// Config is the path of a configuration document. Its backend servers are
+	// played.
+	Config string `json:"config"`
+	// ControlAddress is the loopback IP:port of the control API.
+	ControlAddress string          `json:"control_address"`
+	ServiceTime    config.Duration `json:"service_time"`
+	Jitter         float64         `json:"jitter"`
+	ColdStart      config.Duration `json:"cold_start"`
+	ColdFactor     float64         `json:"cold_factor"`
+	LoadLag        config.Duration `json:"load_lag"`
+	CrashDowntime  config.Duration `json:"crash_downtime"`
+	Seed           uint64          `json:"seed"`
+}
+
+// usageError reports wrong arguments.
+type usageError struct{}
+
+func (usageError) Error() string { return "usage: backend-standin settings.json" }
+
+func main() {
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, os.Args[1:], log); err != nil {
+		log.Error("backend-standin failed", "error", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, args []string, log *slog.Logger) error {
+	if len(args) != 1 {
+		return usageError{}
+	}
+	var s settings
+	if err := readJSON(args[0], &s); err != nil {
+		return err
+	}
+	var document config.Document
+	if err := readJSON(s.Config, &document); err != nil {
+		return err
+	}
+	fleet, err := backend.Start(s.options(document.BackendServers, log))
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	return serveControl(ctx, s.ControlAddress, fleet, log)
+}
+
+func readJSON(path string, into any) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open JSON file: %w", err)
+	}
+	defer file.Close()
+	decoder := json.NewDecoder(file)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("decode %s: %w", path, err)
+	}
+	return nil
+}
+
+func (s settings) options(servers []config.BackendServer, log *slog.Logger) backend.Options {
+	return backend.Options{
+		Servers:       servers,
+		ServiceTime:   s.ServiceTime.Std(),
+		Jitter:        s.Jitter,
+		ColdStart:     s.ColdStart.Std(),
+		ColdFactor:    s.ColdFactor,
+		LoadLag:       s.LoadLag.Std(),
+		CrashDowntime: s.CrashDowntime.Std(),
+		Seed:          s.Seed,
+		Log:           log,
+	}
+}
+
+func serveControl(ctx context.Context, address string, fleet *backend.Fleet, log *slog.Logger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for the control API: %w", err)
+	}
+	server := &http.Server{Handler: fleet.Control()}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	log.Info("playing backend servers", "count", len(fleet.Servers()), "control", listener.Addr().String())
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serve the control API: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/backend/control.go
@@ -0,0 +1,140 @@
+package backend
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// AllServers is the server name that stands for every server in the control API.
+const AllServers = "all"
+
+// defaultCrashDowntime is the time a server is down after a marked request
+// crashed it.
+const defaultCrashDowntime = 500 * time.Millisecond
+
+// DrainRequest is the body of POST /servers/{name}/drain.
+type DrainRequest struct {
+	Announce bool `json:"announce"`
+	// Notice is the time in which answers carry "Connection: close" before the
+	// listener closes. It needs Announce.
+	Notice config.Duration `json:"notice,omitempty"`
+}
+
+// RestartRequest is the body of POST /servers/{name}/restart.
+type RestartRequest struct {
+	Downtime config.Duration `json:"downtime"`
+}
+
+// ServerStatus is one element of GET /servers.
+type ServerStatus struct {
+	Name     string   `json:"name"`
+	Address  string   `json:"address"`
+	State    State    `json:"state"`
+	Behavior Behavior `json:"behavior"`
+	Load     Load     `json:"load"`
+}
+
+// Control returns the handler of the control API:
+//
+//	GET  /servers                  states and current loads
+//	POST /servers/{name}/behavior  Behavior
+//	POST /servers/{name}/drain     DrainRequest
+//	POST /servers/{name}/restart   RestartRequest
+//	POST /servers/{name}/crash     no body
+//	GET  /executions               Summary
+//	GET  /executions/{key}         Execution
+//
+// The name "all" stands for every server. Errors are problem documents.
+func (f *Fleet) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /servers", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, f.Status())
+	})
+	mux.HandleFunc("POST /servers/{name}/behavior", act(f, (*Server).SetBehavior))
+	mux.HandleFunc("POST /servers/{name}/drain", act(f, (*Server).drainRequest))
+	mux.HandleFunc("POST /servers/{name}/restart", act(f, (*Server).restartRequest))
+	mux.HandleFunc("POST /servers/{name}/crash", func(w http.ResponseWriter, r *http.Request) {
+		f.each(w, r, (*Server).Crash)
+	})
+	mux.HandleFunc("GET /executions", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, f.journal.Summary())
+	})
+	mux.HandleFunc("GET /executions/{key}", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, f.journal.Execution(r.PathValue("key")))
+	})
+	return mux
+}
+
+// Status returns the state and current load of every server.
+func (f *Fleet) Status() []ServerStatus {
+	status := make([]ServerStatus, len(f.servers))
+	for i, s := range f.servers {
+		status[i] = ServerStatus{
+			Name:     s.Name(),
+			Address:  s.Address(),
+			State:    s.State(),
+			Behavior: s.Behavior(),
+			Load:     s.CurrentLoad(),
+		}
+	}
+	return status
+}
+
+func (s *Server) drainRequest(d DrainRequest) {
+	if d.Announce && d.Notice > 0 {
+		s.AnnounceDrain(d.Notice.Std())
+		return
+	}
+	s.Drain(d.Announce)
+}
+
+func (s *Server) restartRequest(r RestartRequest) { s.Restart(r.Downtime.Std()) }
+
+// act decodes the body of a control request and applies it to the named servers.
+func act[T any](f *Fleet, apply func(*Server, T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body T
+		decoder := json.NewDecoder(r.Body)
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&body); err != nil {
+			problem.New(problem.TypeBadRequest, http.StatusBadRequest, problem.RanNo, "%v", err).Write(w)
+			return
+		}
+		f.each(w, r, func(s *Server) { apply(s, body) })
+	}
+}
+
+func (f *Fleet) each(w http.ResponseWriter, r *http.Request, apply func(*Server)) {
+	servers, err := f.named(r.PathValue("name"))
+	if err != nil {
+		problem.New(problem.TypeNotFound, http.StatusNotFound, problem.RanNo, "%v", err).Write(w)
+		return
+	}
+	for _, s := range servers {
+		apply(s)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (f *Fleet) named(name string) ([]*Server, error) {
+	if name == AllServers {
+		return f.servers, nil
+	}
+	s, err := f.Server(name)
+	if err != nil {
+		return nil, err
+	}
+	return []*Server{s}, nil
+}
+
+// crashDowntime returns how long a crashed server stays down.
+func (f *Fleet) crashDowntime() time.Duration {
+	if f.options.CrashDowntime > 0 {
+		return f.options.CrashDowntime
+	}
+	return defaultCrashDowntime
+}
