claims: add at-most-once execution with a batching writer

Cause: non-idempotent requests need one durable claim each, through the platform's table service alone. Ruled out: deleting the row on release. A delayed delete of an earlier claimant could remove a later claim if versions repeat, so a release writes the state "released" and the next claim replaces that version.

--- /dev/null
+++ b/claims/begin.go
@@ -0,0 +1,201 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/platform"
+)
+
+// maxTakeovers bounds the claims of one Begin on released rows, so that callers
+// that release and claim the same key in turn cannot hold it forever.
+const maxTakeovers = 4
+
+// Prior is the answer to a caller whose idempotency key is already claimed.
+type Prior struct {
+	// Decision is DecideStored, DecideInProgress or DecideUnknown.
+	Decision Decision
+	// Outcome is the stored response with DecideStored.
+	Outcome *Outcome
+}
+
+// Begin claims the request. It returns a Claim when the request may run, or a
+// Prior when an earlier request with the same key and content exists. On an
+// error this request has not run and will not run:
+//
+//   - *InvalidRequestError: a part of the request's name is missing.
+//   - *UnavailableError: no claim could be written.
+//   - *KeyReusedError: the key belongs to a different request.
+//   - *PriorUnreadableError: an earlier request exists and may have run, but its
+//     claim or outcome cannot be read now.
+//
+// A cancelled ctx yields *UnavailableError; a claim row that was written anyway
+// is released in the background.
+func (s *Store) Begin(ctx context.Context, req Request) (*Claim, *Prior, error) {
+	if err := req.Validate(); err != nil {
+		return nil, nil, err
+	}
+	c, existing, err := s.enter(req)
+	if err != nil {
+		return nil, nil, &UnavailableError{Err: err}
+	}
+	if existing != nil {
+		prior, err := existing.prior(req.Fingerprint)
+		return nil, prior, err
+	}
+	return s.claimRow(ctx, c)
+}
+
+// claimRow writes the claim row of c, taking over released rows.
+func (s *Store) claimRow(ctx context.Context, c *Claim) (*Claim, *Prior, error) {
+	var ifVersion int64
+	for range maxTakeovers {
+		row, err := s.tryClaim(ctx, c, ifVersion)
+		if err != nil {
+			return nil, nil, err
+		}
+		if row == nil {
+			return c, nil, nil
+		}
+		prior, released, err := s.decideRow(ctx, c.fingerprint, *row)
+		if !released {
+			s.leave(c)
+			return nil, prior, err
+		}
+		ifVersion = row.Version
+	}
+	s.leave(c)
+	return nil, nil, &UnavailableError{Err: &StateError{Call: "claim", Reason: "too many claims on one key"}}
+}
+
+// tryClaim writes the claim row once. It returns the conflicting row, or nil
+// when the claim is held. On an error c has left the store or is being released.
+func (s *Store) tryClaim(ctx context.Context, c *Claim, ifVersion int64) (*platform.Row, error) {
+	started := time.Now()
+	c.prepare(started.Add(s.config.StartWithin), ifVersion)
+	value := s.record(c, StateClaimed, started).Encode()
+	rw := newRowWrite(platform.Write{Key: c.key, Value: value, IfVersion: ifVersion}, nil)
+	res, inFlight, err := s.writer.do(ctx, rw)
+	if inFlight {
+		go s.releaseLate(c, rw)
+		return nil, &UnavailableError{Err: err}
+	}
+	if err != nil {
+		s.leave(c)
+		return nil, &UnavailableError{Err: err}
+	}
+	return s.claimResult(c, res)
+}
+
+func (s *Store) claimResult(c *Claim, res writeResult) (*platform.Row, error) {
+	if res.err != nil {
+		s.dropUnwritten(c, res)
+		if res.conflict {
+			return nil, &PriorUnreadableError{Err: res.err}
+		}
+		return nil, &UnavailableError{Err: res.err}
+	}
+	if res.fate == fateConflict {
+		return &res.row, nil
+	}
+	c.granted(res.row.Version)
+	return nil, nil
+}
+
+// dropUnwritten gives up a claim whose write failed. A write that may still be
+// applied is fenced off first.
+func (s *Store) dropUnwritten(c *Claim, res writeResult) {
+	if len(res.uncertain) == 0 {
+		s.leave(c)
+		return
+	}
+	go s.fence(c, res.uncertain)
+}
+
+// releaseLate releases a claim whose caller left while the write was in flight.
+func (s *Store) releaseLate(c *Claim, rw *rowWrite) {
+	var res writeResult
+	select {
+	case res = <-rw.done:
+	case <-s.ctx.Done():
+		s.leave(c)
+		return
+	}
+	switch {
+	case res.err != nil:
+		s.dropUnwritten(c, res)
+	case res.fate == fateConflict:
+		s.leave(c)
+	default:
+		c.granted(res.row.Version)
+		_ = c.Release(s.ctx)
+	}
+}
+
+// record returns the row content of c in a state.
+func (s *Store) record(c *Claim, state State, wall time.Time) Record {
+	return Record{
+		State:       state,
+		Fingerprint: c.fingerprint,
+		Claimant:    s.config.Self,
+		ClaimedAt:   wall.Unix(),
+	}
+}
+
+// decideRow decides about a row that somebody else wrote. released reports that
+// the row may be claimed.
+func (s *Store) decideRow(ctx context.Context, f Fingerprint, row platform.Row) (prior *Prior, released bool, err error) {
+	if row.Version == 0 {
+		return nil, true, nil
+	}
+	record, err := DecodeRecord(row.Value)
+	if err != nil {
+		return nil, false, &PriorUnreadableError{Err: err}
+	}
+	decision := Decide(f, record, s.observe(row, record))
+	switch decision {
+	case DecideClaim:
+		return nil, true, nil
+	case DecideKeyReused:
+		return nil, false, &KeyReusedError{Row: row.Key}
+	case DecideStored:
+		prior, err = s.stored(ctx, record)
+		return prior, false, err
+	}
+	return &Prior{Decision: decision}, false, nil
+}
+
+func (s *Store) observe(row platform.Row, record Record) Observation {
+	o := Observation{InProgressFor: s.config.InProgressFor}
+	if record.State != StateClaimed {
+		return o
+	}
+	o.UnchangedFor = s.unchangedFor(row, time.Now())
+	if record.Claimant == s.config.Self {
+		// This process no longer works on the row, or enter had found its claim.
+		o.Claimant = ClaimantGone
+		return o
+	}
+	o.Claimant = s.config.Liveness(record.Claimant)
+	return o
+}
+
+// stored returns the stored outcome of a row.
+func (s *Store) stored(ctx context.Context, record Record) (*Prior, error) {
+	if record.Outcome != nil {
+		return &Prior{Decision: DecideStored, Outcome: record.Outcome}, nil
+	}
+	data, err := s.objects.Get(ctx, record.Object.Name)
+	if err != nil {
+		return nil, &PriorUnreadableError{Err: err}
+	}
+	if !record.Object.matches(data) {
+		return nil, &PriorUnreadableError{Err: &FormatError{What: "outcome object"}}
+	}
+	var outcome Outcome
+	if err := json.Unmarshal(data, &outcome); err != nil {
+		return nil, &PriorUnreadableError{Err: &FormatError{What: "outcome object", Err: err}}
+	}
+	return &Prior{Decision: DecideStored, Outcome: &outcome}, nil
+}
