forward: ask the claim before the first byte of non-idempotent work

Cause: the claim package ends a claim's right to start just before the first byte, and MarkSent was called after the attempt.

Change: a non-idempotent attempt opens its own connection, asks the claim, and then sends over that connection. A refused connection is now proof that nothing was sent.

Ruled out: the GotConn hook of net/http, which cannot stop a request that it reports.

Before: a claim that lapsed between the check and the send still ran. After: TestUnsentClaimIsReleased passes for that case, and fails with the check removed.

--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -34,6 +34,7 @@
 	released   int
 	completed  []StoredResponse
 	claimError *problem.Document
+	lapsed     error // returned by MarkSent
 }
 
 func (f *fakeServices) Authorize(presented string, route *config.Route) (string, *problem.Document) {
@@ -87,7 +88,7 @@
 }
 
 func (f *fakeServices) MayStart() bool          { return f.mayStart }
-func (f *fakeServices) MarkSent()               {}
+func (f *fakeServices) MarkSent() error         { return f.lapsed }
 func (f *fakeServices) Release(context.Context) { f.released++ }
 func (f *fakeServices) Complete(_ context.Context, r StoredResponse) {
 	f.completed = append(f.completed, r)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"time"
@@ -123,17 +124,25 @@
 
 // Claim is the right to run one piece of non-idempotent work.
 type Claim interface {
-	// MayStart reports whether the work may still be sent. It must be called
-	// just before the first byte.
+	// MayStart reports whether the work may still be sent.
 	MayStart() bool
-	// MarkSent records that bytes may have reached a backend server.
-	MarkSent()
+	// MarkSent records that the first byte is about to be sent. On a
+	// *ClaimLapsedError nothing may be sent.
+	MarkSent() error
 	// Release gives the claim up. It may be called only if nothing was sent.
 	Release(ctx context.Context)
 	// Complete stores the response.
 	Complete(ctx context.Context, resp StoredResponse)
 }
 
+// ClaimLapsedError reports a claim whose time to start has passed.
+type ClaimLapsedError struct{ Err error }
+
+func (e *ClaimLapsedError) Error() string { return fmt.Sprintf("the claim lapsed: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *ClaimLapsedError) Unwrap() error { return e.Err }
+
 // Claimer records non-idempotent work before it runs.
 type Claimer interface {
 	// Begin claims the work. It returns a claim, the stored response of an
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -199,15 +199,24 @@
 // Guards against claims that are kept although nothing was sent, or that start
 // after their deadline.
 func TestUnsentClaimIsReleased(t *testing.T) {
-	var runs atomic.Int32
-	r := newRig(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
-	r.mayStart = false
-	req := r.request(t, "POST", "/r/order/x", "crate=1")
-	req.Header.Set(HeaderIdempotencyKey, "a")
-	_, body := do(t, req)
-	must.Eq(t, problem.RanNo, refusal(t, body).Ran)
-	must.Eq(t, 0, runs.Load())
-	must.Eq(t, 1, r.released)
+	cases := map[string]func(*rig){
+		"lapsed before the connection": func(r *rig) { r.mayStart = false },
+		"lapsed before the first byte": func(r *rig) { r.lapsed = &ClaimLapsedError{Err: io.EOF} },
+		"no server":                    func(r *rig) { r.servers = nil },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			r := newRig(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+			change(r)
+			req := r.request(t, "POST", "/r/order/x", "crate=1")
+			req.Header.Set(HeaderIdempotencyKey, "a")
+			_, body := do(t, req)
+			must.Eq(t, problem.RanNo, refusal(t, body).Ran)
+			must.Eq(t, 0, runs.Load())
+			must.Eq(t, 1, r.released)
+		})
+	}
 }
 
 // Guards against non-idempotent work without an idempotency key.
--- a/forward/transport.go
+++ b/forward/transport.go
@@ -48,6 +48,7 @@
 	// reused connection fails before the response. A fresh connection is never
 	// retried, so non-idempotent work cannot run twice.
 	fresh.DisableKeepAlives = true
+	fresh.DialContext = useConnection
 	return &Transport{pooled: pooled, fresh: fresh}
 }
 
@@ -67,6 +68,36 @@
 	length     int64
 	idempotent bool
 	requestID  string
+	// beforeSend is called when a connection stands and before the first byte.
+	// On an error nothing is sent. Only non-idempotent attempts have it.
+	beforeSend func() error
+}
+
+// connectionKey is the context key of a connection for useConnection.
+type connectionKey struct{}
+
+// useConnection is a dial function that returns the connection in ctx.
+func useConnection(ctx context.Context, _, _ string) (net.Conn, error) {
+	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
+	if !ok {
+		return nil, &RequestError{Err: net.ErrClosed}
+	}
+	return conn, nil
+}
+
+// connect opens the connection of a non-idempotent attempt and asks whether it
+// may be sent.
+func connect(ctx context.Context, a attempt) (context.Context, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", a.server.Address)
+	if err != nil {
+		return ctx, err
+	}
+	if err := a.beforeSend(); err != nil {
+		conn.Close()
+		return ctx, err
+	}
+	return context.WithValue(ctx, connectionKey{}, conn), nil
 }
 
 // CrossedResponseError reports a response that names another request.
@@ -97,7 +128,17 @@
 	req.Header = a.header
 	setTimeoutHeader(ctx, req.Header)
 	setBody(req, a)
-	resp, err = t.choose(a).RoundTrip(req)
+	transport := t.pooled
+	if !a.idempotent {
+		ctx, err := connect(req.Context(), a)
+		if err != nil {
+			return nil, false, err
+		}
+		connected.Store(true)
+		req = req.WithContext(ctx)
+		transport = t.fresh
+	}
+	resp, err = transport.RoundTrip(req)
 	if err != nil {
 		return nil, connected.Load(), err
 	}
@@ -116,13 +157,6 @@
 // Unwrap returns the cause.
 func (e *RequestError) Unwrap() error { return e.Err }
 
-func (t *Transport) choose(a attempt) *http.Transport {
-	if a.idempotent {
-		return t.pooled
-	}
-	return t.fresh
-}
-
 // setBody leaves GetBody unset, so that net/http cannot send a body twice.
 func setBody(req *http.Request, a attempt) {
 	if a.length == 0 {
--- a/forward/try.go
+++ b/forward/try.go
@@ -53,7 +53,7 @@
 	x.tried = append(x.tried, pick.Server.Name)
 	if x.claim != nil && !x.claim.MayStart() {
 		pick.Done(Result{})
-		return nil, &failure{problem: problem.New(problem.TypeClaimUnavailable, http.StatusServiceUnavailable, x.ran(), "the claim expired before the request could be sent").WithRetryAfter(time.Second)}
+		return nil, &failure{problem: claimLapsed(x)}
 	}
 	return h.send(ctx, r, x, pick)
 }
@@ -70,11 +70,9 @@
 		length:     x.body.length,
 		idempotent: x.route.Idempotent,
 		requestID:  x.id,
+		beforeSend: func() error { return x.claim.MarkSent() },
 	})
 	x.sent = x.sent || sent
-	if sent && x.claim != nil {
-		x.claim.MarkSent()
-	}
 	if err != nil {
 		pick.Done(h.failedResult(ctx, x, sent, err, time.Since(started)))
 		return nil, h.sendFailure(ctx, x, err)
@@ -110,6 +108,10 @@
 	if bodyErr := x.body.err(); bodyErr != nil {
 		return &failure{problem: callerProblem(bodyErr, x.ran())}
 	}
+	var lapsed *ClaimLapsedError
+	if errors.As(err, &lapsed) {
+		return &failure{problem: claimLapsed(x)}
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &failure{problem: problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, x.ran(), "the deadline passed")}
 	}
@@ -119,6 +121,10 @@
 	}
 }
 
+func claimLapsed(x *exchange) *problem.Document {
+	return problem.New(problem.TypeClaimUnavailable, http.StatusServiceUnavailable, x.ran(), "the claim lapsed before the request could be sent").WithRetryAfter(time.Second)
+}
+
 // describe returns the cause without addresses, which callers must not see.
 func describe(err error) string {
 	var (
