--- /dev/null
+++ b/limits/holder.go
@@ -0,0 +1,232 @@
+package limits
+
+import "time"
+
+// attempt is a write whose result is not known yet.
+type attempt struct {
+	sentAt time.Time // clock reading before the write was sent
+	base   int64     // version that the write requires
+	create bool
+}
+
+// Holder is one process's view of one ledger and its own share of it. It does no
+// I/O: the adapter passes in rows and results. It is not safe for concurrent use.
+type Holder struct {
+	id       string
+	instance string
+	policy   Policy
+
+	limit      Share
+	generation int64
+
+	known   bool // a row, or its absence, was read
+	row     Ledger
+	version int64
+	seen    observations
+
+	own        Entry // as confirmed by the table
+	counter    uint64
+	attempts   map[uint64]attempt
+	leaseUntil time.Time
+	floorUntil time.Time
+	lastWrite  time.Time
+	closed     bool
+
+	using  Entry // floor and lease that the bucket has now
+	bucket Bucket
+	demand demandMeter
+}
+
+// NewHolder returns a holder without a share. id must differ between processes.
+func NewHolder(id, instance string, p Policy, now time.Time) *Holder {
+	return &Holder{
+		id: id, instance: instance, policy: p,
+		seen:     make(observations),
+		attempts: make(map[uint64]attempt),
+		bucket:   NewBucket(Share{}, false, now),
+		demand:   demandMeter{last: now},
+	}
+}
+
+// SetLimit sets the configured limit. A lower generation than before is ignored.
+func (h *Holder) SetLimit(limit Share, generation int64) {
+	if generation < h.generation {
+		return
+	}
+	h.limit = limit
+	h.generation = generation
+}
+
+// Allow decides one request with the given cost, in requests.
+func (h *Holder) Allow(cost float64, now time.Time) Decision {
+	h.demand.add(cost)
+	h.expire(now)
+	if h.bucket.Take(cost, now) {
+		return Decision{Allowed: true}
+	}
+	wait, possible := h.bucket.Wait(cost)
+	if !possible {
+		return Decision{RetryAfter: h.policy.RenewEvery, Reason: ReasonNoShare}
+	}
+	return Decision{RetryAfter: wait, Reason: ReasonRate}
+}
+
+// Using returns the share that the holder admits from at the time now.
+func (h *Holder) Using(now time.Time) Share {
+	h.expire(now)
+	return h.using.Held()
+}
+
+// expire gives up shares whose term has ended at the time now.
+func (h *Holder) expire(now time.Time) {
+	if !h.using.Lease.IsZero() && !now.Before(h.leaseUntil) {
+		h.use(h.using.Floor, Share{}, h.leaseUntil)
+	}
+	if !h.using.Floor.IsZero() && !now.Before(h.floorUntil) {
+		h.use(Share{}, Share{}, h.floorUntil)
+	}
+	h.bucket.Advance(now)
+}
+
+// use sets the shares of the bucket.
+func (h *Holder) use(floor, lease Share, now time.Time) {
+	h.using.Floor = floor
+	h.using.Lease = lease
+	h.bucket.SetShare(floor.Plus(lease), now)
+}
+
+// restrict reduces the bucket to at most the shares of e.
+func (h *Holder) restrict(e Entry, now time.Time) {
+	h.expire(now)
+	h.use(h.using.Floor.Min(e.Floor), h.using.Lease.Min(e.Lease), now)
+}
+
+// resume uses the confirmed shares as far as their terms last.
+func (h *Holder) resume(now time.Time) {
+	h.expire(now)
+	floor, lease := h.own.Floor, h.own.Lease
+	if h.closed || !now.Before(h.floorUntil) {
+		floor = Share{}
+	}
+	if h.closed || !now.Before(h.leaseUntil) {
+		lease = Share{}
+	}
+	h.use(floor, lease, now)
+}
+
+// Observe takes in a row that was read. now is a clock reading after the read
+// returned. Version 0 means that the row is absent. Rows older than one already
+// known are ignored.
+func (h *Holder) Observe(row Ledger, version int64, now time.Time) {
+	if h.known && version < h.version {
+		return
+	}
+	h.known = true
+	h.row = row
+	h.version = version
+	h.seen.update(row, h.id, now)
+	h.reconcile(now)
+}
+
+// reconcile compares the own entry in the row with the attempts.
+func (h *Holder) reconcile(now time.Time) {
+	e, present := h.row.Find(h.id)
+	if applied, ok := h.attempts[e.Renewals]; present && ok {
+		h.adopt(e, applied, now)
+		return
+	}
+	if h.dropDecided(); len(h.attempts) > 0 {
+		return
+	}
+	h.own = e
+	h.resume(now)
+}
+
+// dropDecided forgets attempts that can no longer be applied, because the row
+// has passed the version that they require.
+func (h *Holder) dropDecided() {
+	for counter, a := range h.attempts {
+		if a.base < h.version {
+			delete(h.attempts, counter)
+		}
+	}
+}
+
+// adopt takes over an entry that the attempt a is known to have written.
+func (h *Holder) adopt(e Entry, a attempt, now time.Time) {
+	h.own = e
+	h.leaseUntil = a.sentAt.Add(h.policy.LeaseTerm)
+	h.floorUntil = a.sentAt.Add(h.policy.FloorTerm)
+	h.dropDecided()
+	h.resume(now)
+	if a.create {
+		h.bucket.Fill()
+	}
+}
+
+// Proposal is a row to write.
+type Proposal struct {
+	Ledger    Ledger
+	IfVersion int64
+	counter   uint64
+}
+
+// Propose returns the row to write next, if one is due. now is a clock reading
+// before the write is sent. The bucket is reduced to the proposed share at once.
+// The caller must report the result with Written or Failed, or leave it open and
+// pass the row that it reads next to Observe.
+func (h *Holder) Propose(now time.Time) (Proposal, bool) {
+	h.expire(now)
+	demand := h.demand.sample(now)
+	if !h.known {
+		return Proposal{}, false
+	}
+	next, due := decide(h.view(demand, now))
+	if !due {
+		return Proposal{}, false
+	}
+	return h.send(next, now), true
+}
+
+// Leave returns the row without the own entry and stops admitting. The second
+// result is false when there is no entry to remove.
+func (h *Holder) Leave(now time.Time) (Proposal, bool) {
+	h.closed = true
+	h.use(Share{}, Share{}, now)
+	i := h.row.index(h.id)
+	if i < 0 && len(h.attempts) == 0 {
+		return Proposal{}, false
+	}
+	next := h.row.clone()
+	if i >= 0 {
+		next.Holders = append(next.Holders[:i], next.Holders[i+1:]...)
+	}
+	return h.send(next, now), true
+}
+
+func (h *Holder) send(next Ledger, now time.Time) Proposal {
+	h.counter++
+	if i := next.index(h.id); i >= 0 {
+		next.Holders[i].Renewals = h.counter
+		h.restrict(next.Holders[i], now)
+	}
+	h.attempts[h.counter] = attempt{sentAt: now, base: h.version, create: h.version == 0}
+	h.lastWrite = now
+	return Proposal{Ledger: next, IfVersion: h.version, counter: h.counter}
+}
+
+// Written reports that the proposal was applied as the given version.
+func (h *Holder) Written(p Proposal, version int64, now time.Time) {
+	if version < h.version {
+		return
+	}
+	h.Observe(p.Ledger, version, now)
+}
+
+// Failed reports that the proposal was not applied and never will be.
+func (h *Holder) Failed(p Proposal, now time.Time) {
+	delete(h.attempts, p.counter)
+	if len(h.attempts) == 0 {
+		h.resume(now)
+	}
+}
--- /dev/null
+++ b/limits/step.go
@@ -0,0 +1,213 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/platform"
+)
+
+// scanRows is the number of rows per Scan call.
+const scanRows = 500
+
+// Step reads all ledgers once and writes those that are due. It returns one
+// *StepError for each failed call. Run calls it; tests and traces call it with a
+// virtual clock.
+func (m *Manager) Step(ctx context.Context) []error {
+	m.steps.Lock()
+	defer m.steps.Unlock()
+	var errs []error
+	if err := m.readAll(ctx); err != nil {
+		errs = append(errs, &StepError{Op: "read", Err: err})
+	}
+	if err := m.readListing(ctx); err != nil {
+		errs = append(errs, &StepError{Op: "list instances", Err: err})
+	}
+	return append(errs, m.writeAll(ctx, (*Holder).Propose)...)
+}
+
+// Release stops admitting and removes this process from all ledgers, so that
+// others can use its shares at once. It returns one *StepError for each ledger
+// that could not be written.
+func (m *Manager) Release(ctx context.Context) []error {
+	m.steps.Lock()
+	defer m.steps.Unlock()
+	readErr := m.readAll(ctx)
+	errs := m.writeAll(ctx, (*Holder).Leave)
+	if readErr != nil {
+		errs = append(errs, &StepError{Op: "read", Err: readErr})
+	}
+	return errs
+}
+
+func (m *Manager) readAll(ctx context.Context) error {
+	rows, err := m.scan(ctx)
+	if err != nil {
+		return err
+	}
+	now := m.opts.Clock()
+	for name, s := range *m.slots.Load() {
+		if err := s.observe(name, rows[RowKey(name)], now); err != nil {
+			m.opts.OnError(&StepError{Name: name, Op: "decode", Err: err})
+		}
+	}
+	return nil
+}
+
+func (m *Manager) scan(ctx context.Context) (map[string]platform.Row, error) {
+	found := make(map[string]platform.Row)
+	after := ""
+	for {
+		rows, err := m.scanPage(ctx, after)
+		if err != nil {
+			return nil, fmt.Errorf("scan %s: %w", Prefix, err)
+		}
+		for _, row := range rows {
+			found[row.Key] = row
+			after = row.Key
+		}
+		if len(rows) < scanRows {
+			return found, nil
+		}
+	}
+}
+
+func (m *Manager) scanPage(ctx context.Context, after string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	return m.opts.Table.Scan(ctx, Prefix, scanRows, after)
+}
+
+func (s *slot) observe(name string, row platform.Row, now time.Time) error {
+	var l Ledger
+	if row.Version > 0 {
+		var err error
+		if l, err = Decode(row.Value); err != nil {
+			return &LedgerError{Key: RowKey(name), Err: err}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holder.Observe(l, row.Version, now)
+	return nil
+}
+
+func (m *Manager) readListing(ctx context.Context) error {
+	if !m.opts.Policy.TrustListing || m.opts.Instances == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	listing, err := m.opts.Instances.List(ctx)
+	if err != nil {
+		return err
+	}
+	listed := make(map[string]bool, len(listing.Instances))
+	for _, in := range listing.Instances {
+		listed[in.Name] = true
+	}
+	now := m.opts.Clock()
+	for _, s := range *m.slots.Load() {
+		s.mu.Lock()
+		s.holder.seen.list(s.holder.row, listed, now)
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// proposeFunc is Holder.Propose or Holder.Leave.
+type proposeFunc func(*Holder, time.Time) (Proposal, bool)
+
+// writeAll writes the rows that are due, in the order of their names.
+func (m *Manager) writeAll(ctx context.Context, propose proposeFunc) []error {
+	slots := *m.slots.Load()
+	names := make([]string, 0, len(slots))
+	for name := range slots {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	errs := make([]error, len(names))
+	permits := make(chan struct{}, m.opts.Parallel)
+	var wait sync.WaitGroup
+	for i, name := range names {
+		permits <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-permits }()
+			errs[i] = m.write(ctx, name, slots[name], propose)
+		})
+	}
+	wait.Wait()
+	return withoutNil(errs)
+}
+
+func withoutNil(errs []error) []error {
+	var out []error
+	for _, err := range errs {
+		if err != nil {
+			out = append(out, err)
+		}
+	}
+	return out
+}
+
+// write sends one proposal. A conflict is no error: the next step reads the row
+// again. After an unknown outcome the row is read back at once.
+func (m *Manager) write(ctx context.Context, name string, s *slot, propose proposeFunc) error {
+	p, due := s.propose(propose, m.opts.Clock())
+	if !due {
+		return nil
+	}
+	err := m.transact(ctx, name, s, p)
+	if err == nil || platform.IsConflict(err) {
+		return nil
+	}
+	if platform.IsOutcomeUnknown(err) {
+		if readErr := m.readBack(ctx, name, s); readErr == nil {
+			return nil
+		}
+	}
+	return &StepError{Name: name, Op: "write", Err: err}
+}
+
+func (s *slot) propose(propose proposeFunc, now time.Time) (Proposal, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return propose(s.holder, now)
+}
+
+func (m *Manager) transact(ctx context.Context, name string, s *slot, p Proposal) error {
+	value, err := p.Ledger.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	changeID := fmt.Sprintf("%s/%d", m.opts.ID, p.counter)
+	write := platform.Write{Key: RowKey(name), Value: value, IfVersion: p.IfVersion}
+	result, err := m.opts.Table.Transact(ctx, changeID, []platform.Write{write})
+	now := m.opts.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.holder.Written(p, result.Versions[0], now)
+	case !platform.IsOutcomeUnknown(err):
+		s.holder.Failed(p, now)
+	}
+	return err
+}
+
+// readBack reads the row after a write whose outcome is unknown. The renewal
+// counter in the own entry says whether the write was applied.
+func (m *Manager) readBack(ctx context.Context, name string, s *slot) error {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	row, err := m.opts.Table.Read(ctx, RowKey(name))
+	if err != nil {
+		return err
+	}
+	return s.observe(name, row, m.opts.Clock())
+}
--- /dev/null
+++ b/limits/target.go
@@ -0,0 +1,120 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+)
+
+// idleFraction is the part of a limit below which demand counts as none.
+const idleFraction = 0.001
+
+// plan is how a limit should be divided between the holders of a ledger.
+type plan struct {
+	floors []Share
+	leases []Share
+}
+
+// divide computes the shares that all holders should have. Floors are equal.
+// The rest follows demand: max-min fair when there is not enough, otherwise in
+// proportion to what the holders ask for above their floors. stuck says which
+// holders do not react; their floors above the equal part are left to them.
+func divide(l Ledger, p Policy, stuck func(id string) bool) plan {
+	floors := divideFloors(l, p, stuck)
+	pool := l.Limit
+	for _, f := range floors {
+		pool = pool.Minus(f)
+	}
+	return plan{floors: floors, leases: divideLeases(pool, claims(l, p, floors))}
+}
+
+func divideFloors(l Ledger, p Policy, stuck func(id string) bool) []Share {
+	floors := make([]Share, len(l.Holders))
+	budget := l.Limit.fraction(p.FloorFraction)
+	open := make([]int, 0, len(l.Holders))
+	for i, e := range l.Holders {
+		if stuck(e.ID) && !e.Floor.Within(equalPart(budget, len(l.Holders))) {
+			floors[i] = e.Floor
+			budget = budget.Minus(e.Floor)
+			continue
+		}
+		open = append(open, i)
+	}
+	// A share below one request admits nothing, so a small burst makes fewer floors.
+	open = open[:min(len(open), int(budget.Burst/One))]
+	for _, i := range open {
+		floors[i] = equalPart(budget, len(open))
+	}
+	return floors
+}
+
+func equalPart(s Share, n int) Share {
+	if n <= 0 {
+		return Share{}
+	}
+	return Share{Rate: s.Rate / Amount(n), Burst: s.Burst / Amount(n)}
+}
+
+// claims returns the rate that each holder asks for above its floor.
+func claims(l Ledger, p Policy, floors []Share) []Amount {
+	out := make([]Amount, len(l.Holders))
+	idle := AmountOf(l.Limit.Rate.Float() * idleFraction)
+	for i, e := range l.Holders {
+		if e.Demand > idle {
+			out[i] = max(0, AmountOf(e.Demand.Float()*p.Headroom)-floors[i].Rate)
+		}
+	}
+	return out
+}
+
+// divideLeases divides pool. Each holder with a lease gets a burst of at least
+// one request, so a small burst makes fewer leases; larger claims come first.
+func divideLeases(pool Share, claims []Amount) []Share {
+	order := claimants(claims)
+	order = order[:min(len(order), int(pool.Burst/One))]
+	leases := make([]Share, len(claims))
+	rates := divideRate(pool.Rate, claims, order)
+	spare := pool.Burst - Amount(len(order))*One
+	for _, i := range order {
+		leases[i] = Share{Rate: rates[i], Burst: One + spare.scale(rates[i], pool.Rate)}
+	}
+	return leases
+}
+
+// claimants returns the indexes with a claim, the largest claim first.
+func claimants(claims []Amount) []int {
+	var order []int
+	for i, c := range claims {
+		if c > 0 {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(claims[b], claims[a]) })
+	return order
+}
+
+func divideRate(pool Amount, claims []Amount, order []int) []Amount {
+	var sum Amount
+	for _, i := range order {
+		sum += claims[i]
+	}
+	if sum > pool {
+		return maxMin(pool, claims, order)
+	}
+	rates := make([]Amount, len(claims))
+	for _, i := range order {
+		rates[i] = pool.scale(claims[i], sum)
+	}
+	return rates
+}
+
+// maxMin serves the smallest claims first and divides the rest equally. order
+// lists the claims from the largest to the smallest.
+func maxMin(pool Amount, claims []Amount, order []int) []Amount {
+	rates := make([]Amount, len(claims))
+	for n := len(order); n > 0; n-- {
+		i := order[n-1]
+		rates[i] = min(claims[i], pool/Amount(n))
+		pool -= rates[i]
+	}
+	return rates
+}
