--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -32,6 +32,7 @@
 	results    []Result
 	stored     *StoredResponse
 	released   int
+	abandoned  int
 	completed  []StoredResponse
 	claimError *problem.Document
 	lapsed     error // returned by MarkSent
@@ -90,6 +91,7 @@
 func (f *fakeServices) MayStart() bool          { return f.mayStart }
 func (f *fakeServices) MarkSent() error         { return f.lapsed }
 func (f *fakeServices) Release(context.Context) { f.released++ }
+func (f *fakeServices) Abandon(context.Context) { f.abandoned++ }
 func (f *fakeServices) Complete(_ context.Context, r StoredResponse) {
 	f.completed = append(f.completed, r)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -133,6 +133,8 @@
 	Release(ctx context.Context)
 	// Complete stores the response.
 	Complete(ctx context.Context, resp StoredResponse)
+	// Abandon ends a claim whose response will not be known.
+	Abandon(ctx context.Context)
 }
 
 // ClaimLapsedError reports a claim whose time to start has passed.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -177,13 +177,22 @@
 		if h.mayRetry(ctx, x, failure, n) {
 			continue
 		}
-		if !x.sent {
-			x.claim.Release(context.WithoutCancel(ctx))
-		}
+		h.giveUp(ctx, x)
 		return failure.problem
 	}
 }
 
+// giveUp ends a claim whose work was not sent, or whose response is lost.
+func (h *Handler) giveUp(ctx context.Context, x *exchange) {
+	record, cancel := context.WithTimeout(context.WithoutCancel(ctx), RecordTimeout)
+	defer cancel()
+	if x.sent {
+		x.claim.Abandon(record)
+		return
+	}
+	x.claim.Release(record)
+}
+
 // detach keeps the deadline of ctx and drops its cancellation.
 func detach(ctx context.Context) (context.Context, context.CancelFunc) {
 	detached := context.WithoutCancel(ctx)
@@ -197,6 +206,7 @@
 func (h *Handler) completeClaim(ctx context.Context, w http.ResponseWriter, x *exchange, reply *reply) *problem.Document {
 	body, err := reply.readAll(MaxClaimedResponseBytes)
 	if err != nil {
+		h.giveUp(ctx, x)
 		return incomplete(x, err)
 	}
 	stored := StoredResponse{Status: reply.status(), Header: callerHeader(reply.resp.Header), Body: body}
