placement, headroom: add server choice, reservations and link budgets

Cause: forwarding needs a decision per request with the reason for every rejected candidate, and regions must not be overloaded by spill.

Ruled out: one uniform figure per outside instance, as the spare capacity of a service is often below the number of outside instances and the remainder would be lost; freezing on the last report.

--- /dev/null
+++ b/headroom/holder.go
@@ -0,0 +1,185 @@
+package headroom
+
+import (
+	"sync"
+	"time"
+)
+
+// Report is a grant as received in a digest.
+type Report struct {
+	// Publisher is the entry instance that granted.
+	Publisher string
+	Region    string
+	Service   string
+	// Requests that the holder may have in progress.
+	Requests int
+	// Age of the grant at its arrival.
+	Age time.Duration
+}
+
+// forgetAfter is the age at which a grant is dropped. Until then it tells an expired
+// reservation from one that never was.
+const forgetAfter = 10 * time.Minute
+
+type areaKey struct{ region, service string }
+
+// Holder uses the grants of other regions for one entry instance. All methods are
+// safe for concurrent use.
+type Holder struct {
+	links  *Links
+	mu     sync.Mutex
+	grants map[areaKey]map[string]grant // by publisher
+	inUse  map[areaKey]int
+}
+
+// NewHolder returns a holder without grants that admits within the link budgets.
+func NewHolder(links *Links) *Holder {
+	return &Holder{
+		links:  links,
+		grants: make(map[areaKey]map[string]grant),
+		inUse:  make(map[areaKey]int),
+	}
+}
+
+// Report stores a grant. It replaces the publisher's previous one unless it is
+// older.
+func (h *Holder) Report(r Report, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := areaKey{r.Region, r.Service}
+	at := now.Add(-r.Age)
+	if h.grants[key] == nil {
+		h.grants[key] = make(map[string]grant)
+	}
+	if old, ok := h.grants[key][r.Publisher]; ok && old.at.After(at) {
+		return
+	}
+	h.grants[key][r.Publisher] = grant{requests: r.Requests, at: at}
+	h.forget(key, now)
+}
+
+// forget drops grants of publishers that have not been heard for a long time.
+func (h *Holder) forget(key areaKey, now time.Time) {
+	for publisher, g := range h.grants[key] {
+		if now.Sub(g.at) >= forgetAfter {
+			delete(h.grants[key], publisher)
+		}
+	}
+}
+
+// Spill is a request for servers of another region.
+type Spill struct {
+	Region  string // region of the servers
+	Service string
+	// UploadBytes and ResponseBytes are the expected sizes, 0 when unknown.
+	UploadBytes   int64
+	ResponseBytes int64
+}
+
+// Admit admits a request to another region or returns a *RefusedError, which means
+// that the request was not run. After a nil error Release must follow. The bytes
+// are charged with Links.Charge as they flow.
+func (h *Holder) Admit(s Spill, now time.Time) error {
+	if err := h.admitLink(s, now); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.check(s, now); err != nil {
+		return err
+	}
+	h.inUse[areaKey{s.Region, s.Service}]++
+	return nil
+}
+
+// Check returns what Admit would return, without admitting. It is for building a
+// view of several regions.
+func (h *Holder) Check(s Spill, now time.Time) error {
+	if err := h.admitLink(s, now); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.check(s, now)
+}
+
+// Release ends an admitted request.
+func (h *Holder) Release(s Spill) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := areaKey{s.Region, s.Service}
+	h.inUse[key] = max(0, h.inUse[key]-1)
+}
+
+// Allowed returns the number of requests that may be in progress, by the age of
+// the grants.
+func (h *Holder) Allowed(region, service string, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sum := 0
+	for _, g := range h.grants[areaKey{region, service}] {
+		sum += g.worth(now)
+	}
+	return sum
+}
+
+func (h *Holder) check(s Spill, now time.Time) error {
+	key := areaKey{s.Region, s.Service}
+	allowed := 0
+	for _, g := range h.grants[key] {
+		allowed += g.worth(now)
+	}
+	if h.inUse[key] < allowed {
+		return nil
+	}
+	return &RefusedError{
+		Cause: h.cause(key, now), Region: s.Region, Service: s.Service,
+		InUse: h.inUse[key], Allowed: allowed,
+	}
+}
+
+func (h *Holder) cause(key areaKey, now time.Time) Cause {
+	cause := CauseNoGrant
+	for _, g := range h.grants[key] {
+		if g.requests > 0 && now.Sub(g.at) < GrantLife {
+			return CauseUsed
+		}
+		if g.requests > 0 {
+			cause = CauseExpired
+		}
+	}
+	return cause
+}
+
+func (h *Holder) admitLink(s Spill, now time.Time) error {
+	if h.links == nil {
+		return nil
+	}
+	out, err := h.links.Fits(s.Region, Outbound, s.UploadBytes, now)
+	if err != nil {
+		return err
+	}
+	in, err := h.links.Fits(s.Region, Inbound, s.ResponseBytes, now)
+	if err != nil {
+		return err
+	}
+	if wait := max(out, in); wait > 0 {
+		return &RefusedError{Cause: CauseLink, Region: s.Region, Service: s.Service, RetryAfter: wait}
+	}
+	return nil
+}
+
+// worth is the number of requests that a grant allows at its age: all of them at
+// first, then falling to zero at GrantLife.
+func (g grant) worth(now time.Time) int {
+	age := now.Sub(g.at)
+	switch {
+	case age >= GrantLife:
+		return 0
+	case age <= grantFull:
+		return g.requests
+	default:
+		left := float64(GrantLife-age) / float64(GrantLife-grantFull)
+		return int(float64(g.requests) * left)
+	}
+}
--- /dev/null
+++ b/placement/book.go
@@ -0,0 +1,269 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/serverstate"
+)
+
+// Instance is the entry instance that places requests.
+type Instance struct {
+	Name   string
+	Zone   string
+	Region string
+}
+
+// States is what placement needs of a serverstate.Tracker.
+type States interface {
+	Eligible(server string, now time.Time) (weight float64, reason serverstate.Reason)
+	Latency(server string) time.Duration
+}
+
+// Inputs are the other observations of a placement.
+type Inputs struct {
+	States States
+	Spill  map[string]error // see View
+	Policy config.Policy
+}
+
+// Book holds one instance's counts and the reports of others. All methods are safe
+// for concurrent use. Place chooses and counts under one lock, so that two requests
+// never take the same last slot.
+type Book struct {
+	self Instance
+
+	mu       sync.Mutex
+	servers  map[string]*entry
+	services map[string][]*entry // sorted by name
+	// scratch is reused by view to keep placement free of large allocations.
+	scratch []Candidate
+}
+
+// entry is one server in the book.
+type entry struct {
+	config.BackendServer
+	region  string
+	sharers []string // sorted
+	inUse   int
+	open    int
+	idle    int
+	reports []report // sorted by entry instance, so that sums are reproducible
+	offset  uint64   // decides which sharers get the odd slots
+}
+
+type report struct {
+	instance string
+	inUse    int
+	at       time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook(self Instance) *Book {
+	return &Book{
+		self:     self,
+		servers:  make(map[string]*entry),
+		services: make(map[string][]*entry),
+	}
+}
+
+// SetServer adds a server or replaces its description; counts are kept. sharers are
+// the entry instances that divide the server's slots when measurements are missing:
+// the live ones of its region. All of them must use the same list.
+func (b *Book) SetServer(s config.BackendServer, region string, sharers []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.servers[s.Name]
+	if e == nil {
+		e = &entry{offset: xxhash.Sum64String(s.Name)}
+		b.servers[s.Name] = e
+	} else if e.Service != s.Service {
+		b.unlist(e)
+	}
+	e.BackendServer = s
+	e.region = region
+	e.sharers = slices.Sorted(slices.Values(sharers))
+	if !slices.Contains(b.services[s.Service], e) {
+		b.services[s.Service] = append(b.services[s.Service], e)
+		slices.SortFunc(b.services[s.Service], func(x, y *entry) int { return cmp.Compare(x.Name, y.Name) })
+	}
+}
+
+// RemoveServer removes a server that is no longer configured.
+func (b *Book) RemoveServer(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.servers[name]
+	if e == nil {
+		return
+	}
+	delete(b.servers, name)
+	b.unlist(e)
+}
+
+func (b *Book) unlist(e *entry) {
+	kept := slices.DeleteFunc(b.services[e.Service], func(o *entry) bool { return o == e })
+	b.services[e.Service] = kept
+	if len(kept) == 0 {
+		delete(b.services, e.Service)
+	}
+}
+
+// Report stores another instance's requests in progress at a server. age is the
+// report's age at its arrival. Reports of unknown servers are ignored.
+func (b *Book) Report(instance, server string, inUse int, age time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.servers[server]
+	if e == nil || instance == b.self.Name {
+		return
+	}
+	e.store(report{instance: instance, inUse: inUse, at: now.Add(-age)})
+	e.reports = slices.DeleteFunc(e.reports, func(r report) bool { return now.Sub(r.at) > reportLife })
+}
+
+// reportLife is the age at which a report weighs less than 0.1%.
+const reportLife = 10 * halfLife
+
+// store keeps the newest report of each instance.
+func (e *entry) store(r report) {
+	i, found := slices.BinarySearchFunc(e.reports, r.instance, func(x report, name string) int {
+		return cmp.Compare(x.instance, name)
+	})
+	switch {
+	case !found:
+		e.reports = slices.Insert(e.reports, i, r)
+	case !e.reports[i].at.After(r.at):
+		e.reports[i] = r
+	}
+}
+
+// Place chooses a server for the request and counts the request there. If one was
+// chosen, Done must follow. rng is used under the book's lock.
+func (b *Book) Place(req Request, in Inputs, rng *rand.Rand, now time.Time) Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := Choose(req, b.view(req.Service, in, now), rng)
+	if e := b.servers[d.Server]; e != nil {
+		e.inUse++
+	}
+	return d
+}
+
+// Done ends a request that was placed on the server.
+func (b *Book) Done(server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.servers[server]; e != nil {
+		e.inUse = max(0, e.inUse-1)
+	}
+}
+
+// SetConnections stores this instance's connections to a server: all, and idle.
+func (b *Book) SetConnections(server string, open, idle int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.servers[server]; e != nil {
+		e.open = open
+		e.idle = idle
+	}
+}
+
+// Load is this instance's use of a server, for the digest.
+type Load struct {
+	Server string
+	InUse  int
+}
+
+// Loads returns this instance's use of all servers, sorted by name. Servers without
+// use are included: zero is a measurement.
+func (b *Book) Loads() []Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Load, 0, len(b.servers))
+	for name, e := range b.servers {
+		out = append(out, Load{Server: name, InUse: e.inUse})
+	}
+	slices.SortFunc(out, func(x, y Load) int { return cmp.Compare(x.Server, y.Server) })
+	return out
+}
+
+// Capacity returns the part of a service's limits in the instance's own region that
+// this instance may use, and its requests in progress there. It is what headroom
+// needs. Servers that get no work do not count.
+func (b *Book) Capacity(service string, in Inputs, now time.Time) (limit, inUse int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.services[service] {
+		if e.region != b.self.Region {
+			continue
+		}
+		inUse += e.inUse
+		if weight, _ := in.States.Eligible(e.Name, now); weight > 0 {
+			limit += e.share(b.self.Name, in.Policy)
+		}
+	}
+	return limit, inUse
+}
+
+func (b *Book) view(service string, in Inputs, now time.Time) View {
+	entries := b.services[service]
+	if cap(b.scratch) < len(entries) {
+		b.scratch = make([]Candidate, len(entries))
+	}
+	b.scratch = b.scratch[:len(entries)]
+	for i, e := range entries {
+		e.describe(&b.scratch[i], b.self.Name, in, now)
+	}
+	return View{
+		Zone:       b.self.Zone,
+		Region:     b.self.Region,
+		Candidates: b.scratch,
+		Spill:      in.Spill,
+		Policy:     in.Policy,
+	}
+}
+
+// describe fills in a candidate and reuses its slice.
+func (e *entry) describe(c *Candidate, self string, in Inputs, now time.Time) {
+	weight, reason := in.States.Eligible(e.Name, now)
+	*c = Candidate{
+		Server: e.Name, Zone: e.Zone, Region: e.region, Labels: e.Labels,
+		Slots: e.Slots, Connections: e.Connections,
+		Weight: weight, State: reason, Latency: in.States.Latency(e.Name),
+		InUse: e.inUse, Open: e.open, Idle: e.idle,
+		ConnectionShare: max(1, e.Connections/max(1, len(e.sharers))),
+		Others:          c.Others[:0],
+	}
+	c.UnreportedShare = Limit(e.Slots, in.Policy) - e.share(self, in.Policy)
+	if len(e.sharers) == 0 {
+		c.UnreportedShare = 0
+	}
+	for _, r := range e.reports {
+		share := e.share(r.instance, in.Policy)
+		c.UnreportedShare -= share
+		c.Others = append(c.Others, Use{InUse: r.inUse, Share: share, Age: now.Sub(r.at)})
+	}
+}
+
+// share returns an instance's static share of the server's limit. The shares are
+// whole slots and add up to the limit; which instances get the odd ones differs
+// from server to server.
+func (e *entry) share(instance string, p config.Policy) int {
+	rank, ok := slices.BinarySearch(e.sharers, instance)
+	if !ok {
+		return 0
+	}
+	n := len(e.sharers)
+	limit := Limit(e.Slots, p)
+	share := limit / n
+	if (rank+int(e.offset%uint64(n)))%n < limit%n {
+		share++
+	}
+	return share
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,247 @@
+// Package placement chooses the backend server for a request.
+//
+// Choose is a pure function of a view: labels first, then locality, then capacity,
+// with power of two choices at the end. Book keeps the exact local counts and the
+// aged reports of other entry instances that make up the view.
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/selector"
+	"github.com/jacinthrack/jacinthrack/serverstate"
+)
+
+// DefaultMaxUtilization is the share of a server's slots that is used when the
+// policy gives none. It leaves room for the error of counts that are a second old.
+const DefaultMaxUtilization = 0.9
+
+// halfLife is the time in which the weight of another instance's report halves.
+const halfLife = time.Second
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	Service  string
+	Selector selector.Selector
+	// Shift is set when the request holds a token of the shift. Its To selector
+	// replaces the route's.
+	Shift *config.Shift
+	// Exclude names servers that already failed this request.
+	Exclude []string
+}
+
+// Use is another entry instance's use of a server.
+type Use struct {
+	// InUse counts requests in progress at the time of the report.
+	InUse int
+	// Share is the instance's static share of the server's limit.
+	Share int
+	// Age of the report.
+	Age time.Duration
+}
+
+// expected is the use to expect from the instance: what it reported, and with
+// growing age its static share instead.
+func (u Use) expected() float64 {
+	fresh := freshness(u.Age)
+	return fresh*float64(u.InUse) + (1-fresh)*float64(u.Share)
+}
+
+// Candidate is a server with what this instance knows of it.
+type Candidate struct {
+	Server string
+	Zone   string
+	Region string
+	Labels selector.Labels
+	// Slots and Connections are the server's capacity.
+	Slots       int
+	Connections int
+	// Weight, 0 to 1, and State come from serverstate.
+	Weight float64
+	State  serverstate.Reason
+	// Latency is the recent average, zero when unknown.
+	Latency time.Duration
+	// InUse counts this instance's requests in progress.
+	InUse int
+	// Open and Idle count this instance's connections: all of them, and those
+	// that a request can use at once.
+	Open int
+	Idle int
+	// ConnectionShare is the number of connections that this instance may open.
+	// Zero means all.
+	ConnectionShare int
+	// Others is the reported use of the server by other entry instances.
+	Others []Use
+	// UnreportedShare is the sum of the static shares of the entry instances that
+	// reported nothing.
+	UnreportedShare int
+}
+
+// View is what an entry instance knows when it chooses.
+type View struct {
+	Zone       string
+	Region     string
+	Candidates []Candidate
+	// Spill holds the answer of headroom for each other region: nil when a request
+	// may be sent there. A region without entry gets none.
+	Spill  map[string]error
+	Policy config.Policy
+}
+
+// Tier is the distance of a server.
+type Tier uint8
+
+// Tiers, nearest first.
+const (
+	TierZone Tier = iota
+	TierRegion
+	TierRemote
+	tiers
+)
+
+var tierNames = [...]string{"same zone", "same region", "other region"}
+
+// String returns the name used in logs.
+func (t Tier) String() string {
+	if int(t) < len(tierNames) {
+		return tierNames[t]
+	}
+	return "unknown"
+}
+
+// Why is the type of a choice or a rejection.
+type Why uint8
+
+// Reasons of a choice.
+const (
+	// ChosenOnly: the only server left in its tier.
+	ChosenOnly Why = iota + 1
+	// ChosenLessLoaded: the better of two random ones.
+	ChosenLessLoaded
+)
+
+// Reasons of a rejection.
+const (
+	// RejectedSelector: the labels do not match.
+	RejectedSelector Why = iota + 16
+	// RejectedState: the server's state allows no new work.
+	RejectedState
+	// RejectedTried: the server already failed this request.
+	RejectedTried
+	// RejectedSlots: the slots are in use as far as known.
+	RejectedSlots
+	// RejectedStaticShare: measurements are missing, and this instance's static
+	// share of the slots is in use.
+	RejectedStaticShare
+	// RejectedSlowStart: the warming server has its share.
+	RejectedSlowStart
+	// RejectedConnections: no connection is idle and none may be opened.
+	RejectedConnections
+	// RejectedSpill: headroom refused the region.
+	RejectedSpill
+	// RejectedFarther: a nearer tier has room.
+	RejectedFarther
+	// RejectedNotSampled: not one of the two random ones.
+	RejectedNotSampled
+	// RejectedMoreLoaded: the worse of the two random ones.
+	RejectedMoreLoaded
+)
+
+var whyNames = map[Why]string{
+	ChosenOnly:          "only server with room",
+	ChosenLessLoaded:    "less loaded of two",
+	RejectedSelector:    "labels do not match",
+	RejectedState:       "state",
+	RejectedTried:       "already failed this request",
+	RejectedSlots:       "slots in use",
+	RejectedStaticShare: "static share in use, measurements are missing",
+	RejectedSlowStart:   "slow start share in use",
+	RejectedConnections: "connections in use",
+	RejectedSpill:       "region has no headroom",
+	RejectedFarther:     "nearer server has room",
+	RejectedNotSampled:  "not sampled",
+	RejectedMoreLoaded:  "more loaded of two",
+}
+
+// String returns the name used in logs.
+func (w Why) String() string {
+	if name, ok := whyNames[w]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+// Rejection is a candidate that was not chosen.
+type Rejection struct {
+	Server string
+	Why    Why
+	// State is the state's reason, for RejectedState.
+	State serverstate.Reason
+	// Spill is the refusal, for RejectedSpill. It is nil when the region has no
+	// entry in the view.
+	Spill error
+}
+
+// String returns the text for logs.
+func (r Rejection) String() string {
+	switch {
+	case r.Why == RejectedState:
+		return fmt.Sprintf("%s: %s", r.Server, r.State)
+	case r.Why == RejectedSpill && r.Spill != nil:
+		return fmt.Sprintf("%s: %v", r.Server, r.Spill)
+	default:
+		return fmt.Sprintf("%s: %s", r.Server, r.Why)
+	}
+}
+
+// Decision is the result of Choose.
+type Decision struct {
+	// Server is empty when no server can take the request.
+	Server string
+	Region string
+	Tier   Tier
+	Why    Why
+	// Shifted is set when the shift's selector chose the server. When it is not,
+	// the token of the request goes back.
+	Shifted bool
+	// Static is set when the chosen server's load was mostly guessed from static
+	// shares.
+	Static bool
+	// Rejected holds every other candidate, in the order of the view.
+	Rejected []Rejection
+}
+
+// NoServerError reports that no server can take a request. It was not run.
+type NoServerError struct {
+	Service string
+	// Overloaded is set when a server would have taken the request with more room.
+	Overloaded bool
+	Rejected   []Rejection
+}
+
+func (e *NoServerError) Error() string {
+	if e.Overloaded {
+		return fmt.Sprintf("service %s: no room at %d servers", e.Service, len(e.Rejected))
+	}
+	return fmt.Sprintf("service %s: none of %d servers is usable", e.Service, len(e.Rejected))
+}
+
+// NotRun reports that no byte of the request reached a backend server.
+func (e *NoServerError) NotRun() bool { return true }
+
+// Err returns a *NoServerError when no server was chosen, or nil.
+func (d Decision) Err(service string) error {
+	if d.Server != "" {
+		return nil
+	}
+	e := &NoServerError{Service: service, Rejected: d.Rejected}
+	for _, r := range d.Rejected {
+		switch r.Why {
+		case RejectedSlots, RejectedStaticShare, RejectedSlowStart, RejectedConnections, RejectedSpill:
+			e.Overloaded = true
+		}
+	}
+	return e
+}
