balancer: feed the decision packages from the data path

Cause: placement, server states, headroom, quarantine and retry budgets are pure and need observations, counts and a log line for each decision.

Change: package balancer holds their state, turns results of attempts into evidence, probes the region's servers in turns with its other entry instances, and gives digests the loads, grants and quarantined fingerprints. Requests outside a shift stay on the servers that match its from selector, so that a shift's cap also bounds what its target gets. Retries are decided by package retry.

--- /dev/null
+++ b/balancer/pick.go
@@ -0,0 +1,218 @@
+package balancer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/forward"
+	"github.com/jacinthrack/jacinthrack/headroom"
+	"github.com/jacinthrack/jacinthrack/placement"
+	"github.com/jacinthrack/jacinthrack/problem"
+	"github.com/jacinthrack/jacinthrack/quarantine"
+	"github.com/jacinthrack/jacinthrack/retry"
+	"github.com/jacinthrack/jacinthrack/selector"
+	"github.com/jacinthrack/jacinthrack/shiftcap"
+)
+
+// retryAfter is when a refused request may find room.
+const retryAfter = time.Second
+
+// nextHop is the path to a backend server of the own region and the least time
+// in which one can answer.
+var nextHop = retry.Hop{RoundTrip: 2 * time.Millisecond, Work: time.Millisecond}
+
+// RecordRequest implements forward.Balancer.
+func (b *Balancer) RecordRequest(customer, service string) {
+	b.budgets.Request(customer, service, time.Now())
+}
+
+// NextRetry implements forward.Balancer.
+func (b *Balancer) NextRetry(a retry.Attempt) (time.Duration, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budgets.Next(a, nextHop, time.Now(), b.rng)
+}
+
+// Pick implements forward.Balancer.
+func (b *Balancer) Pick(_ context.Context, call forward.Call) (*forward.Pick, *problem.Document) {
+	now := time.Now()
+	s := b.current()
+	if s == nil {
+		return nil, problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.RanNo, "no configuration is in force").WithRetryAfter(retryAfter)
+	}
+	decision, refusal := b.place(s, call, now)
+	if refusal != nil {
+		b.logRefusal(call, refusal)
+		return nil, refusal
+	}
+	b.logPlacement(call, decision)
+	server := s.servers[decision.Server]
+	ticket := &ticket{balancer: b, state: s, call: call, decision: decision}
+	return &forward.Pick{Server: &server, Reason: decision.Why.String(), Done: ticket.done}, nil
+}
+
+// place chooses a server and reserves everything that the attempt needs.
+func (b *Balancer) place(s *state, call forward.Call, now time.Time) (placement.Decision, *problem.Document) {
+	in := b.inputs(s, call, now)
+	req := b.request(s, call, now)
+	b.mu.Lock()
+	decision := s.book.Place(req, in, b.rng, now)
+	b.mu.Unlock()
+	if err := decision.Err(call.Route.Service); err != nil {
+		return decision, noServer(err)
+	}
+	if err := b.reserve(s, call, decision, in, now); err != nil {
+		s.book.Done(decision.Server)
+		return decision, refusalOf(err)
+	}
+	return decision, nil
+}
+
+func (b *Balancer) inputs(s *state, call forward.Call, now time.Time) placement.Inputs {
+	in := placement.Inputs{
+		States: b.tracker,
+		Policy: s.index.Document().Policy,
+		Spill:  make(map[string]error),
+	}
+	for _, region := range s.index.Document().Regions {
+		if region.Name != s.region {
+			in.Spill[region.Name] = s.holder.Check(spill(region.Name, call), now)
+		}
+	}
+	return in
+}
+
+func spill(region string, call forward.Call) headroom.Spill {
+	return headroom.Spill{Region: region, Service: call.Route.Service, UploadBytes: max(0, call.BodyBytes)}
+}
+
+// request describes the attempt to placement. Requests outside a shift stay with
+// the servers that the shift moves traffic away from.
+func (b *Balancer) request(s *state, call forward.Call, now time.Time) placement.Request {
+	shifts := s.index.Shifts(call.Route.Name)
+	req := placement.Request{
+		Service:  call.Route.Service,
+		Selector: call.Route.Selector,
+		Exclude:  call.Exclude,
+	}
+	if len(shifts) == 0 {
+		return req
+	}
+	for _, shift := range shifts {
+		req.Selector = selector.All(req.Selector, shift.From)
+	}
+	outcome := shiftcap.Decide(shifts, call.Route.Name, b.draw(call), b.opts.Tokens, now)
+	if outcome.Shifted {
+		shift := outcome.Shift
+		shift.To = selector.All(call.Route.Selector, shift.To)
+		req.Shift = &shift
+	}
+	return req
+}
+
+// draw gives all attempts of one request the same place in a shift's fraction.
+func (b *Balancer) draw(call forward.Call) float64 {
+	const bits = 53 // of the mantissa of a float64
+	return float64(call.Fingerprint>>(64-bits)) / (1 << bits)
+}
+
+// reserve takes what placement does not count: the quarantine's permit and the
+// headroom of the server's region.
+func (b *Balancer) reserve(s *state, call forward.Call, d placement.Decision, in placement.Inputs, now time.Time) error {
+	if err := b.quarantine.Begin(quarantine.Fingerprint(call.Fingerprint), d.Server, now); err != nil {
+		return err
+	}
+	err := b.admit(s, call, d, in, now)
+	if err != nil {
+		b.quarantine.End(quarantine.Fingerprint(call.Fingerprint), d.Server, false, now)
+	}
+	return err
+}
+
+func (b *Balancer) admit(s *state, call forward.Call, d placement.Decision, in placement.Inputs, now time.Time) error {
+	if d.Region != s.region {
+		return s.holder.Admit(spill(d.Region, call), now)
+	}
+	limit, inUse := s.book.Capacity(call.Route.Service, in, now)
+	// The book counts this attempt already.
+	return s.publisher.AdmitLocal(call.Route.Service, headroom.Capacity{Limit: limit, InUse: inUse - 1}, now)
+}
+
+func noServer(err error) *problem.Document {
+	var none *placement.NoServerError
+	if errors.As(err, &none) && none.Overloaded {
+		return problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.RanNo, "%v", err).WithRetryAfter(retryAfter)
+	}
+	return problem.New(problem.TypeNoServer, http.StatusServiceUnavailable, problem.RanNo, "%v", err).WithRetryAfter(retryAfter)
+}
+
+func refusalOf(err error) *problem.Document {
+	var (
+		quarantined *quarantine.QuarantinedError
+		probation   *quarantine.ProbationError
+	)
+	switch {
+	case errors.As(err, &quarantined):
+		return problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, problem.RanNo, "%v", quarantined).WithRetryAfter(quarantined.RetryAfter)
+	case errors.As(err, &probation):
+		return problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, problem.RanNo, "%v", probation).WithRetryAfter(retryAfter)
+	default:
+		return problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.RanNo, "%v", err).WithRetryAfter(retryAfter)
+	}
+}
+
+// maxLoggedCandidates bounds a log line. The number left out is in the line.
+const maxLoggedCandidates = 8
+
+func (b *Balancer) logPlacement(call forward.Call, d placement.Decision) {
+	b.metrics.placements.WithLabelValues(call.Route.Service, d.Tier.String()).Inc()
+	rejected, omitted := describe(d.Rejected)
+	b.log.Info("placement", "request_id", call.RequestID, "customer", call.Customer, "route", call.Route.Name,
+		"attempt", call.Attempt, "server", d.Server, "tier", d.Tier.String(), "reason", d.Why.String(),
+		"shifted", d.Shifted, "static", d.Static, "rejected", rejected, "rejected_omitted", omitted)
+}
+
+func (b *Balancer) logRefusal(call forward.Call, refusal *problem.Document) {
+	b.metrics.refusals.WithLabelValues(call.Route.Service, string(refusal.Type)).Inc()
+	b.log.Info("placement refused", "request_id", call.RequestID, "customer", call.Customer, "route", call.Route.Name,
+		"attempt", call.Attempt, "reason", refusal.Detail)
+}
+
+func describe(rejections []placement.Rejection) (texts []string, omitted int) {
+	for i, r := range rejections {
+		if i == maxLoggedCandidates {
+			return texts, len(rejections) - i
+		}
+		texts = append(texts, r.String())
+	}
+	return texts, 0
+}
+
+// Explain returns the decision for a request of the route without placing it.
+func (b *Balancer) Explain(route config.Route, now time.Time) (placement.Decision, error) {
+	s := b.current()
+	if s == nil {
+		return placement.Decision{}, &NoConfigError{}
+	}
+	call := forward.Call{Route: &route, BodyBytes: 0}
+	req := placement.Request{Service: route.Service, Selector: route.Selector}
+	for _, shift := range s.index.Shifts(route.Name) {
+		req.Selector = selector.All(req.Selector, shift.From)
+	}
+	in := b.inputs(s, call, now)
+	b.mu.Lock()
+	decision := s.book.Place(req, in, b.rng, now)
+	b.mu.Unlock()
+	if decision.Server != "" {
+		s.book.Done(decision.Server)
+	}
+	return decision, nil
+}
+
+// NoConfigError reports that no configuration is in force.
+type NoConfigError struct{}
+
+func (e *NoConfigError) Error() string { return "no configuration is in force" }
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jacinthrack/jacinthrack/config"
 	"github.com/jacinthrack/jacinthrack/problem"
+	"github.com/jacinthrack/jacinthrack/retry"
 )
 
 const testKey = "jr_id_secret"
@@ -36,6 +37,7 @@
 	completed  []StoredResponse
 	claimError *problem.Document
 	lapsed     error // returned by MarkSent
+	crashes    bool  // returned by Done
 }
 
 func (f *fakeServices) Authorize(presented string, route *config.Route) (string, *problem.Document) {
@@ -65,10 +67,11 @@
 	return &Pick{Server: f.servers[call.Attempt], Done: f.record}, nil
 }
 
-func (f *fakeServices) record(r Result) {
+func (f *fakeServices) record(r Result) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.results = append(f.results, r)
+	return f.crashes
 }
 
 func (f *fakeServices) recorded() []Result {
@@ -77,9 +80,15 @@
 	return slices.Clone(f.results)
 }
 
-func (f *fakeServices) AllowRetry(string, string) bool {
+func (f *fakeServices) NextRetry(a retry.Attempt) (time.Duration, error) {
+	if err := a.Check(); err != nil {
+		return 0, err
+	}
 	f.retries--
-	return f.retries >= 0
+	if f.retries < 0 {
+		return 0, &retry.DeniedError{Denial: retry.DenialBudget, Failure: a.Failure}
+	}
+	return 0, nil
 }
 
 func (f *fakeServices) RecordRequest(string, string) {}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/jacinthrack/jacinthrack/config"
 	"github.com/jacinthrack/jacinthrack/problem"
+	"github.com/jacinthrack/jacinthrack/retry"
 )
 
 // Request headers.
@@ -30,8 +31,6 @@
 
 // Bounds of the data path.
 const (
-	// MaxAttempts bounds the attempts for one request, the first one included.
-	MaxAttempts = 3
 	// BufferBytes is the memory that a streamed request or response may hold in
 	// each direction.
 	BufferBytes = 64 << 10
@@ -91,16 +90,18 @@
 type Pick struct {
 	Server *config.BackendServer
 	Reason string
-	// Done must be called once with the result of the attempt.
-	Done func(Result)
+	// Done must be called once with the result of the attempt. It reports
+	// whether the request is suspected of crashing servers.
+	Done func(Result) (crashes bool)
 }
 
 // Balancer picks backend servers.
 type Balancer interface {
 	// Pick chooses a server. Its refusals mean that the attempt did not run.
 	Pick(ctx context.Context, call Call) (*Pick, *problem.Document)
-	// AllowRetry reports whether the retry budget admits another attempt.
-	AllowRetry(customer, service string) bool
+	// NextRetry returns the wait before another attempt, or the reason why there
+	// must be none.
+	NextRetry(a retry.Attempt) (time.Duration, error)
 	// RecordRequest feeds the retry budget with a first attempt.
 	RecordRequest(customer, service string)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthrack/jacinthrack/config"
 	"github.com/jacinthrack/jacinthrack/problem"
+	"github.com/jacinthrack/jacinthrack/retry"
 )
 
 // ServeHTTP implements http.Handler.
@@ -123,18 +124,45 @@
 	}
 }
 
-// mayRetry reports whether another attempt may follow a failed one.
+// mayRetry reports whether another attempt may follow a failed one, after the
+// backoff.
 func (h *Handler) mayRetry(ctx context.Context, x *exchange, f *failure, n int) bool {
-	if !f.retriable || n+1 >= MaxAttempts || ctx.Err() != nil {
+	if f.kind == 0 || ctx.Err() != nil {
 		return false
 	}
-	if !x.body.replayable() {
+	deadline, _ := ctx.Deadline()
+	now := time.Now()
+	wait, err := h.Balancer.NextRetry(retry.Attempt{
+		Customer:   x.customer,
+		Service:    x.route.Service,
+		Number:     n + 1,
+		Idempotent: x.route.Idempotent,
+		NotSent:    !x.sent,
+		Replayable: x.body.replayable(),
+		Crashed:    f.crashes,
+		Failure:    f.kind,
+		Deadline:   retry.After(now, deadline.Sub(now), 0),
+	})
+	if err != nil {
+		h.Log.Info("request not retried", "request_id", x.id, "customer", x.customer, "route", x.route.Name, "reason", err.Error())
 		return false
 	}
-	if !x.route.Idempotent && x.sent {
+	return sleep(ctx, wait)
+}
+
+// sleep reports whether the whole wait passed before ctx ended.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
 		return false
 	}
-	return h.Balancer.AllowRetry(x.customer, x.route.Service)
 }
 
 // serveClaimed runs non-idempotent work at most once.
--- a/forward/try.go
+++ b/forward/try.go
@@ -10,14 +10,16 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/problem"
+	"github.com/jacinthrack/jacinthrack/retry"
 )
 
 // failure is a failed attempt.
 type failure struct {
 	problem *problem.Document
-	// retriable says that another server may succeed. It does not say that a
-	// second attempt is safe.
-	retriable bool
+	// kind is 0 for refusals of this entry instance, which are never retried.
+	kind retry.Failure
+	// crashes says that the request is suspected of crashing servers.
+	crashes bool
 }
 
 // reply is the response to a successful attempt. Its first bytes, or all of
@@ -27,7 +29,8 @@
 	resp   *http.Response
 	held   []byte
 	whole  bool // held is the entire body
-	finish func(error)
+	// finish ends the attempt and reports what Pick.Done does.
+	finish func(error) bool
 }
 
 func (r *reply) status() int { return r.resp.StatusCode }
@@ -74,21 +77,24 @@
 	})
 	x.sent = x.sent || sent
 	if err != nil {
-		pick.Done(h.failedResult(ctx, x, sent, err, time.Since(started)))
-		return nil, h.sendFailure(ctx, x, err)
+		crashes := pick.Done(h.failedResult(ctx, x, sent, err, time.Since(started)))
+		f := h.sendFailure(ctx, x, sent, err)
+		f.crashes = crashes
+		return nil, f
 	}
+	headerAfter := time.Since(started)
 	rep := &reply{server: pick.Server.Name, resp: resp}
-	rep.finish = func(err error) {
+	rep.finish = func(err error) bool {
 		resp.Body.Close()
-		pick.Done(Result{Sent: true, Status: resp.StatusCode, Err: err, Close: resp.Close, Latency: time.Since(started)})
+		return pick.Done(Result{Sent: true, Status: resp.StatusCode, Err: err, Close: resp.Close, Latency: headerAfter})
 	}
 	if err := rep.hold(); err != nil {
-		rep.finish(err)
-		return nil, &failure{problem: incomplete(x, err), retriable: true}
+		crashes := rep.finish(err)
+		return nil, &failure{problem: incomplete(x, err), kind: retry.FailureTruncated, crashes: crashes}
 	}
-	if shed := isShed(resp.StatusCode); shed && x.route.Idempotent {
+	if isShed(resp.StatusCode) && x.route.Idempotent {
 		rep.finish(nil)
-		return nil, &failure{problem: problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, x.ran(), "the backend server shed the request").WithRetryAfter(time.Second), retriable: true}
+		return nil, &failure{problem: problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, x.ran(), "the backend server shed the request").WithRetryAfter(time.Second), kind: retry.FailureShed}
 	}
 	if rep.whole {
 		rep.finish(nil)
@@ -104,7 +110,7 @@
 	return Result{Sent: sent, Err: err, Latency: took}
 }
 
-func (h *Handler) sendFailure(ctx context.Context, x *exchange, err error) *failure {
+func (h *Handler) sendFailure(ctx context.Context, x *exchange, sent bool, err error) *failure {
 	if bodyErr := x.body.err(); bodyErr != nil {
 		return &failure{problem: callerProblem(bodyErr, x.ran())}
 	}
@@ -113,11 +119,25 @@
 		return &failure{problem: claimLapsed(x)}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &failure{problem: problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, x.ran(), "the deadline passed")}
+		return &failure{problem: problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, x.ran(), "the deadline passed"), kind: retry.FailureTimeout}
 	}
 	return &failure{
-		problem:   problem.New(problem.TypeBackendFailed, http.StatusBadGateway, x.ran(), "the backend server failed: %s", describe(err)),
-		retriable: true,
+		problem: problem.New(problem.TypeBackendFailed, http.StatusBadGateway, x.ran(), "the backend server failed: %s", describe(err)),
+		kind:    failureKind(sent, err),
+	}
+}
+
+// failureKind classifies the error of an attempt.
+func failureKind(sent bool, err error) retry.Failure {
+	switch {
+	case !sent && isTimeout(err):
+		return retry.FailureConnect
+	case !sent:
+		return retry.FailureRefused
+	case isTimeout(err):
+		return retry.FailureTimeout
+	default:
+		return retry.FailureReset
 	}
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -44,12 +44,21 @@
 	for _, in := range rotate(zone, turn, ZoneFanout) {
 		calls.Go(func() { s.exchange(ctx, in, ScopeZone) })
 	}
-	for _, in := range rotate(remote, turn, 1) {
+	for _, in := range rotate(remote, turn, remoteFanout(len(instances))) {
 		calls.Go(func() { s.exchange(ctx, in, ScopeRemote) })
 	}
 	calls.Wait()
 }
 
+// remoteFanout returns the number of instances in other zones to contact in a
+// round.
+func remoteFanout(instances int) int {
+	if instances <= SmallFleet {
+		return instances
+	}
+	return 1
+}
+
 func (s *Service) nextTurn() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,7 +75,7 @@
 		return
 	}
 	sent := time.Now()
-	reply, err := client.Exchange(ctx, s.knowledge.Digest(scope))
+	reply, err := client.Exchange(ctx, s.knowledge.Digest(scope, in.Name, false))
 	if err != nil {
 		s.log.Debug("peer exchange failed", "peer", in.Name, "error", err)
 		return
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,9 @@
 	// control traffic of a zone of 17 instances within 4 KB/s for each instance;
 	// in a smaller zone every peer is contacted in every round.
 	ZoneFanout = 2
+	// SmallFleet is the number of other instances up to which all of them are
+	// contacted in every round.
+	SmallFleet = 8
 	// ExchangeTimeout bounds one exchange.
 	ExchangeTimeout = 800 * time.Millisecond
 	// AnnounceTimeout bounds one hop of an announcement.
@@ -53,8 +56,9 @@
 // Knowledge builds and merges the messages between instances. Its methods are
 // called concurrently.
 type Knowledge interface {
-	// Digest returns the local digest.
-	Digest(scope Scope) *peerpb.Digest
+	// Digest returns the local digest for the instance named to. reply is set
+	// when it answers that instance's request.
+	Digest(scope Scope, to string, reply bool) *peerpb.Digest
 
 	// MergeReply merges the reply to an exchange. Ages in it are at most
 	// roundTrip too low.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -34,7 +34,7 @@
 	refuse    bool
 }
 
-func (k *fakeKnowledge) Digest(Scope) *peerpb.Digest {
+func (k *fakeKnowledge) Digest(Scope, string, bool) *peerpb.Digest {
 	return &peerpb.Digest{Sender: &peerpb.Sender{Name: k.name, Zone: k.zone}}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,7 +22,7 @@
 	if in.GetSender().GetZone() == s.service.zone {
 		scope = ScopeZone
 	}
-	return s.service.knowledge.Digest(scope), nil
+	return s.service.knowledge.Digest(scope, in.GetSender().GetName(), true), nil
 }
 
 // Announce takes an announcement and passes it on while it has hops left.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -88,6 +88,15 @@
 	return true
 }
 
+// All returns the selector that matches what every one of selectors matches.
+func All(selectors ...Selector) Selector {
+	var all Selector
+	for _, s := range selectors {
+		all.requirements = append(all.requirements, s.requirements...)
+	}
+	return all
+}
+
 // String returns the text form.
 func (s Selector) String() string {
 	parts := make([]string, len(s.requirements))
