--- /dev/null
+++ b/config/parse_test.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const smallDocument = `{
+  "regions": [{"name": "r1"}, {"name": "r2"}],
+  "zones": [{"name": "z1", "region": "r1"}],
+  "links": [{"from": "r1", "to": "r2", "bits_per_second": 4000000000, "latency": "20ms"}],
+  "services": [{"name": "stock", "health_path": "/healthz", "slow_start": "10s"}],
+  "backend_servers": [
+    {"name": "b1", "service": "stock", "zone": "z1", "address": "127.0.0.1:1", "slots": 3, "connections": 9, "labels": {"tier": "a"}},
+    {"name": "b2", "service": "stock", "zone": "z1", "address": "127.0.0.1:2", "slots": 3, "connections": 9}],
+  "customers": [{"name": "c1", "rate_per_second": 10, "burst": 20, "weight": 2}],
+  "routes": [{"name": "check", "service": "stock", "selector": "tier=a", "methods": ["GET"], "idempotent": true, "access": "keyed", "deadline": "2s", "key_staleness": "6s"}],
+  "shifts": [{"name": "s", "route": "check", "from": "tier", "to": "!tier", "fraction": 0.5, "cap_per_second": 4}],
+  "sites": [{"name": "site1", "zone": "z1"}],
+  "client_blocks": [{"prefix": "10.0.0.0/16", "site": "site1"}, {"prefix": "10.2.0.0/16", "site": "site1"}],
+  "policy": {"lookup_max_age": "5s", "max_utilization": 0.9}
+}`
+
+// mistake is a replacement in smallDocument and the path and value that must be
+// reported for it.
+type mistake struct{ from, to, path, value string }
+
+var mistakes = []mistake{
+	{`{"name": "r2"}`, `{"name": "r1"}`, "$.regions[1].name", "r1"},
+	{`{"name": "r2"}`, `"r2"`, "$.regions[1]", "r2"},
+	{`{"name": "r2"}`, `{"name": "r/2"}`, "$.regions[1].name", "r/2"},
+	{`{"name": "r2"}`, `{}`, "$.regions[1].name", ""},
+	{`"region": "r1"`, `"region": "rx"`, "$.zones[0].region", "rx"},
+	{`"from": "r1"`, `"from": "rx"`, "$.links[0].from", "rx"},
+	{`"to": "r2"`, `"to": "r1"`, "$.links[0].to", "r1"},
+	{`"latency": "20ms"}`, `"latency": "20ms"}, {"from": "r2", "to": "r1", "bits_per_second": 1}`, "$.links[1]", "r2 to r1"},
+	{`4000000000`, `0`, "$.links[0].bits_per_second", "0"},
+	{`4000000000`, `1.5`, "$.links[0].bits_per_second", "1.5"},
+	{`"20ms"`, `"20"`, "$.links[0].latency", "20"},
+	{`"20ms"`, `20`, "$.links[0].latency", "20"},
+	{`"/healthz"`, `"healthz"`, "$.services[0].health_path", "healthz"},
+	{`"slow_start"`, `"slowstart"`, "$.services[0].slowstart", "10s"},
+	{`"10s"`, `"-1s"`, "$.services[0].slow_start", "-1s"},
+	{`"name": "b2", "service": "stock"`, `"name": "b2", "service": "none"`, "$.backend_servers[1].service", "none"},
+	{`"name": "b2", "service": "stock", "zone": "z1"`, `"name": "b2", "service": "stock", "zone": "z9"`, "$.backend_servers[1].zone", "z9"},
+	{`127.0.0.1:2`, `127.0.0.1:1`, "$.backend_servers[1].address", "127.0.0.1:1"},
+	{`127.0.0.1:2`, `localhost:2`, "$.backend_servers[1].address", "localhost:2"},
+	{`"slots": 3`, `"slots": 0`, "$.backend_servers[0].slots", "0"},
+	{`"connections": 9`, `"connections": -1`, "$.backend_servers[0].connections", "-1"},
+	{`"name": "b1"`, `"name": "b1", "name": "b3"`, "$.backend_servers[0].name", "b3"},
+	{`{"tier": "a"}`, `{"tier": "a", "x": "b c"}`, "$.backend_servers[0].labels.x", "b c"},
+	{`{"tier": "a"}`, `{"tier": "a", "x.y": 1}`, `$.backend_servers[0].labels["x.y"]`, "1"},
+	{`"rate_per_second": 10`, `"rate_per_second": -10`, "$.customers[0].rate_per_second", "-10"},
+	{`"burst": 20`, `"burst": 0.5`, "$.customers[0].burst", "0.5"},
+	{`"weight": 2`, `"weight": -2`, "$.customers[0].weight", "-2"},
+	{`"name": "check", "service": "stock"`, `"name": "check", "service": "none"`, "$.routes[0].service", "none"},
+	{`"tier=a"`, `"tier=b"`, "$.routes[0].selector", "tier=b"},
+	{`"tier=a"`, `"tier in a"`, "$.routes[0].selector", "tier in a"},
+	{`["GET"]`, `["GET", "get"]`, "$.routes[0].methods[1]", "get"},
+	{`["GET"]`, `["GET", "GET"]`, "$.routes[0].methods[1]", "GET"},
+	{`["GET"]`, `[]`, "$.routes[0].methods", "[]"},
+	{`"idempotent": true`, `"idempotent": "yes"`, "$.routes[0].idempotent", "yes"},
+	{`"idempotent": true,`, ``, "$.routes[0].idempotent", ""},
+	{`"keyed"`, `"closed"`, "$.routes[0].access", "closed"},
+	{`"keyed"`, `"open"`, "$.routes[0].key_staleness", "6s"},
+	{`"deadline": "2s"`, `"deadline": "0s"`, "$.routes[0].deadline", "0s"},
+	{`"6s"`, `"10ms"`, "$.routes[0].key_staleness", "10ms"},
+	{`"route": "check"`, `"route": "gone"`, "$.shifts[0].route", "gone"},
+	{`"!tier"`, `"tier=c"`, "$.shifts[0].to", "tier=c"},
+	{`0.5`, `1.5`, "$.shifts[0].fraction", "1.5"},
+	{`"cap_per_second": 4`, `"cap_per_second": -4`, "$.shifts[0].cap_per_second", "-4"},
+	{`"site1", "zone": "z1"`, `"site1", "zone": "z2"`, "$.sites[0].zone", "z2"},
+	{`10.2.0.0/16`, `10.0.0.0/16`, "$.client_blocks[1].prefix", "10.0.0.0/16"},
+	{`10.2.0.0/16`, `10.0.128.0/24`, "$.client_blocks[1].prefix", "10.0.128.0/24"},
+	{`10.0.0.0/16`, `10.0.0.0/8`, "$.client_blocks[1].prefix", "10.2.0.0/16"},
+	{`10.2.0.0/16`, `10.2.0.1/16`, "$.client_blocks[1].prefix", "10.2.0.1/16"},
+	{`10.2.0.0/16`, `10.2.0.0`, "$.client_blocks[1].prefix", "10.2.0.0"},
+	{`10.2.0.0/16", "site": "site1"`, `10.2.0.0/16", "site": "site2"`, "$.client_blocks[1].site", "site2"},
+	{`"5s"`, `"1ms"`, "$.policy.lookup_max_age", "1ms"},
+	{`"max_utilization": 0.9`, `"max_utilization": 9`, "$.policy.max_utilization", "9"},
+	{`"regions": [{"name": "r1"}, {"name": "r2"}]`, `"regions": null`, "$.regions", "null"},
+	{`"policy"`, `"Policy"`, "$.policy", ""},
+	{`"policy"`, `"policy" "x"`, "$", `line 14, column 12: invalid character '"' after object key`},
+}
+
+// parseIssues returns the issues of text by path.
+func parseIssues(t *testing.T, text string) map[string]Issue {
+	t.Helper()
+	doc, err := Parse([]byte(text))
+	var invalid *ValidationError
+	must.True(t, errors.As(err, &invalid), must.Sprintf("got %v", err))
+	must.Nil(t, doc)
+	found := make(map[string]Issue)
+	for _, issue := range invalid.Issues {
+		must.NotEq(t, "", issue.Allowed)
+		must.MapNotContainsKey(t, found, issue.Path)
+		found[issue.Path] = issue
+	}
+	return found
+}
+
+// Guards against a mistake that is accepted or reported at another place.
+func TestParseReportsMistake(t *testing.T) {
+	_, err := Parse([]byte(smallDocument))
+	must.NoError(t, err)
+	for _, m := range mistakes {
+		t.Run(m.path+"="+m.value, func(t *testing.T) {
+			must.StrContains(t, smallDocument, m.from)
+			found := parseIssues(t, strings.Replace(smallDocument, m.from, m.to, 1))
+			must.MapContainsKey(t, found, m.path)
+			must.Eq(t, m.value, found[m.path].Value)
+		})
+	}
+}
+
+// Guards against a parser that stops at the first mistake, and against issues
+// that only follow from another one.
+func TestParseReportsAllMistakesAtOnce(t *testing.T) {
+	together := []string{"$.zones[0].region", "$.links[0].latency", "$.services[0].slowstart",
+		"$.backend_servers[1].address", "$.customers[0].weight", "$.routes[0].idempotent", "$.shifts[0].cap_per_second",
+		"$.sites[0].zone", "$.client_blocks[1].prefix", "$.policy.max_utilization"}
+	text := smallDocument
+	for _, p := range together {
+		m := mistakes[slices.IndexFunc(mistakes, func(m mistake) bool { return m.path == p })]
+		text = strings.Replace(text, m.from, m.to, 1)
+	}
+	must.Eq(t, slices.Sorted(slices.Values(together)), slices.Sorted(maps.Keys(parseIssues(t, text))))
+	nested := strings.Replace(smallDocument, `"20ms"`, `{"value": ["20ms"]}`, 1)
+	must.MapLen(t, 1, parseIssues(t, nested))
+}
--- /dev/null
+++ b/config/sections_test.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of property tests when none was given, so that runs in
+// CI are deterministic.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func fetchFrom(sections map[Hash][]byte) FetchFunc {
+	return func(h Hash) ([]byte, error) { return sections[h], nil }
+}
+
+// Guards against documents that change when they are split and joined, against
+// an encoding that depends on the order of client blocks, and against a changed
+// section that is not noticed.
+func TestSplitJoin(t *testing.T) {
+	base := load(t, "abyssinia")
+	rapid.Check(t, func(t *rapid.T) {
+		doc := *base
+		doc.ClientBlocks = nil
+		numbers := rapid.SliceOfNDistinct(rapid.Uint16(), 100, 300, rapid.ID).Draw(t, "blocks")
+		for _, n := range numbers {
+			prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(n >> 8), byte(n)}), 24)
+			doc.ClientBlocks = append(doc.ClientBlocks, ClientBlock{Prefix: prefix, Site: doc.Sites[n%2].Name})
+		}
+		m, sections, err := Split(&doc)
+		must.NoError(t, err)
+		joined, err := Join(m, fetchFrom(sections))
+		must.NoError(t, err)
+		must.SliceEmpty(t, Diff(&doc, joined))
+
+		rand.New(rand.NewPCG(1, 2)).Shuffle(len(doc.ClientBlocks), func(i, j int) {
+			doc.ClientBlocks[i], doc.ClientBlocks[j] = doc.ClientBlocks[j], doc.ClientBlocks[i]
+		})
+		again, _, err := Split(&doc)
+		must.NoError(t, err)
+		must.True(t, m == again)
+
+		damaged := rapid.SampledFrom(m.Sections()).Draw(t, "damaged")
+		sections[damaged] = append([]byte{' '}, sections[damaged]...)
+		_, err = Join(m, fetchFrom(sections))
+		var mismatch *HashMismatchError
+		must.True(t, errors.As(err, &mismatch))
+		must.Eq(t, damaged, mismatch.Want)
+	})
+}
+
+// Guards against a changed block that transfers more than one shard.
+func TestOneChangedBlockChangesOneShard(t *testing.T) {
+	doc := load(t, "boateng")
+	before, _, err := Split(doc)
+	must.NoError(t, err)
+	doc.ClientBlocks[3].Site = doc.Sites[5].Name
+	after, sections, err := Split(doc)
+	must.NoError(t, err)
+	must.Eq(t, before.Base, after.Base)
+	changed := 0
+	for i := range after.Shards {
+		if after.Shards[i] != before.Shards[i] {
+			changed++
+		}
+	}
+	must.Eq(t, 1, changed)
+	encoded, err := after.Encode()
+	must.NoError(t, err)
+	decoded, err := ParseManifest(encoded, HashOf(encoded))
+	must.NoError(t, err)
+	must.Eq(t, after, decoded)
+
+	shard := ShardOf(doc.ClientBlocks[3].Prefix)
+	after.Shards[shard], after.Shards[(shard+1)%ShardCount] = Hash{}, after.Shards[shard]
+	_, err = Join(after, fetchFrom(sections))
+	var misplaced *SectionError
+	must.True(t, errors.As(err, &misplaced), must.Sprint("a block in a shard that is not its own"))
+}
+
+// Guards against differences that are missed, keyed by position or reported for
+// a new order of the same elements.
+func TestDiff(t *testing.T) {
+	before, after := load(t, "boateng"), load(t, "boateng")
+	must.SliceEmpty(t, Diff(before, after))
+	after.Routes[0], after.Routes[1] = after.Routes[1], after.Routes[0]
+	must.SliceEmpty(t, Diff(before, after))
+	after.Routes[0].Deadline *= 2
+	after.BackendServers[0].Labels["tier"] = "canary"
+	after.BackendServers[0].Labels["draining"] = "true"
+	after.Customers = after.Customers[:7]
+	after.ClientBlocks[0].Site = after.Sites[5].Name
+	after.Links[0].From, after.Links[0].To = after.Links[0].To, after.Links[0].From
+	after.Policy.RefusalWeight = 5
+	after.Regions = append(after.Regions, Region{Name: "volta"})
+	must.Eq(t, []string{
+		`$.regions["volta"] -> {"name":"volta"}`,
+		`$.links["accra/kumasi"].from "accra" -> "kumasi"`,
+		`$.links["accra/kumasi"].to "kumasi" -> "accra"`,
+		`$.backend_servers["stock-01"].labels.draining -> "true"`,
+		`$.backend_servers["stock-01"].labels.tier "stable" -> "canary"`,
+		`$.customers["yapei-crossing"] {"name":"yapei-crossing","labels":{"kind":"ferry","size":"small"},"rate_per_second":40,"burst":100,"weight":1} ->`,
+		`$.routes["pole-length-check"].deadline "2s" -> "4s"`,
+		`$.client_blocks["10.32.0.0/20"].site "accra-a-site" -> "tamale-b-site"`,
+		`$.policy.refusal_weight 3 -> 5`,
+	}, lines(Diff(before, after)))
+}
+
+func lines(changes []Change) []string {
+	var list []string
+	for _, c := range changes {
+		list = append(list, c.Path+spaced(" ", c.Old)+" ->"+spaced(" ", c.New))
+	}
+	return list
+}
+
+func spaced(prefix string, value json.RawMessage) string {
+	if value == nil {
+		return ""
+	}
+	return fmt.Sprint(prefix, string(value))
+}
