--- /dev/null
+++ b/entry/configuration.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/configstore"
+	"github.com/jacinthrack/jacinthrack/kernel"
+)
+
+// configurationName is the name in the kernel registry.
+const configurationName = "config.follower"
+
+// configuration is the kernel service around a configstore.Follower.
+type configuration struct {
+	kernel.Base
+	*configstore.Follower
+	store *configstore.Store
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func newConfiguration(store Platform, live func() int, log *slog.Logger) *configuration {
+	return &configuration{
+		store: configstore.NewStore(store, store),
+		Follower: configstore.NewFollower(configstore.FollowerOptions{
+			Table:   store,
+			Objects: store,
+			Live:    live,
+			Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Log:     log,
+		}),
+	}
+}
+
+// Name implements kernel.Service.
+func (c *configuration) Name() string { return configurationName }
+
+// Requires implements kernel.Service.
+func (c *configuration) Requires() []string { return []string{membershipName} }
+
+// Start implements kernel.Service.
+func (c *configuration) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.done.Go(func() { c.Run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (c *configuration) Stop(context.Context) error {
+	c.cancel()
+	c.done.Wait()
+	return nil
+}
+
+// index returns the configuration in force, or nil.
+func (c *configuration) index() *config.Index {
+	snapshot := c.Current()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.Index
+}
