--- /dev/null
+++ b/lookup/handler.go
@@ -0,0 +1,139 @@
+package lookup
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// Path is the path of the look-up endpoint.
+const Path = "/v1/lookup"
+
+// Query parameters of the look-up endpoint.
+const (
+	QueryClient = "client"
+	QueryZone   = "zone"
+)
+
+// notReadyRetry is the time after which an entry instance that has no
+// configuration or no live instance can be asked again.
+const notReadyRetry = time.Second
+
+// Snapshot is what an entry instance answers look-ups from. It is immutable.
+type Snapshot struct {
+	// Generation is that of the configuration the table was built from.
+	Generation uint64
+	Table      *Table
+	View       *View
+	// MaxAge bounds how long a caller may use an answer. Whole seconds are
+	// sent; a rest is cut off.
+	MaxAge time.Duration
+}
+
+// Source gives the current snapshot.
+type Source interface {
+	// Snapshot returns the current snapshot, or nil before the first
+	// configuration.
+	Snapshot() *Snapshot
+}
+
+// Answer is the body of a successful look-up.
+type Answer struct {
+	// Version names the configuration generation and the set of live instances.
+	// It may be compared for equality only.
+	Version string `json:"version"`
+	// Site is the site of the client block, empty if no block contains the
+	// client.
+	Site string `json:"site,omitempty"`
+	// Block is the client block, or an implicit one if no block contains the
+	// client. All clients of a block get the same answer.
+	Block netip.Prefix `json:"block"`
+	// Zone is the availability zone that the order starts from.
+	Zone string `json:"zone,omitempty"`
+	// Instances are the entry instances to use, best first.
+	Instances []Instance `json:"instances"`
+}
+
+// Handler answers GET /v1/lookup?client=IP[&zone=Z]. Errors are problem
+// documents.
+type Handler struct{ Source Source }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	answer, maxAge, p := h.answer(r)
+	if p != nil {
+		if p.Status == http.StatusMethodNotAllowed {
+			w.Header().Set("Allow", "GET, HEAD")
+		}
+		p.Write(w)
+		return
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		problem.New(problem.TypeInternal, http.StatusInternalServerError, problem.RanNo, "encode the answer: %v", err).Write(w)
+		return
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set("Cache-Control", "max-age="+strconv.Itoa(int(maxAge/time.Second)))
+	// A write error means that the caller has gone; nothing is left to tell it.
+	_, _ = w.Write(body)
+}
+
+func (h *Handler) answer(r *http.Request) (*Answer, time.Duration, *problem.Document) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		return nil, 0, problem.New(problem.TypeMethodNotAllowed, http.StatusMethodNotAllowed, problem.RanNo, "method %s is not allowed, want GET or HEAD", r.Method)
+	}
+	snapshot := h.Source.Snapshot()
+	if snapshot == nil {
+		return nil, 0, notReady("no configuration is in force yet")
+	}
+	query, p := parseQuery(r, snapshot.View)
+	if p != nil {
+		return nil, 0, p
+	}
+	answer := snapshot.Answer(query)
+	if len(answer.Instances) == 0 {
+		return nil, 0, notReady("no live entry instance is known")
+	}
+	return answer, snapshot.MaxAge, nil
+}
+
+func notReady(detail string) *problem.Document {
+	return problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.RanNo, "%s", detail).WithRetryAfter(notReadyRetry)
+}
+
+func parseQuery(r *http.Request, v *View) (Query, *problem.Document) {
+	values := r.URL.Query()
+	client, err := netip.ParseAddr(values.Get(QueryClient))
+	if err != nil {
+		return Query{}, badRequest("query parameter %q is %q, want an IP address", QueryClient, values.Get(QueryClient))
+	}
+	zone := values.Get(QueryZone)
+	if zone != "" && !v.HasZone(zone) {
+		return Query{}, badRequest("query parameter %q is %q, which is not an availability zone", QueryZone, zone)
+	}
+	return Query{Client: client, Zone: zone}, nil
+}
+
+func badRequest(format string, args ...any) *problem.Document {
+	return problem.New(problem.TypeBadRequest, http.StatusBadRequest, problem.RanNo, format, args...)
+}
+
+// Answer returns the answer to a query.
+func (s *Snapshot) Answer(q Query) *Answer {
+	place := Locate(s.Table, s.View, q)
+	return &Answer{
+		Version:   fmt.Sprintf("%d-%016x", s.Generation, s.View.Version()),
+		Site:      place.Site,
+		Block:     place.Block,
+		Zone:      place.Zone,
+		Instances: s.View.Order(make([]Instance, 0, MaxInstances), place),
+	}
+}
--- /dev/null
+++ b/lookup/handler_test.go
@@ -0,0 +1,131 @@
+package lookup
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// fixedSource is a Source that never changes.
+type fixedSource struct{ snapshot *Snapshot }
+
+func (s fixedSource) Snapshot() *Snapshot { return s.snapshot }
+
+func testSnapshot(tb testing.TB, blocks []config.ClientBlock) *Snapshot {
+	doc := testDocument(2, 2, 2)
+	doc.ClientBlocks = blocks
+	table, err := FromDocument(doc)
+	must.NoError(tb, err)
+	return &Snapshot{Generation: 7, Table: table, View: NewView(doc, testMembers(doc, 2)), MaxAge: 5500 * time.Millisecond}
+}
+
+// Guards against answers that callers cannot use: errors without a problem
+// document, a max-age that lasts longer than configured, or an empty list.
+func TestHandler(t *testing.T) {
+	ready := testSnapshot(t, []config.ClientBlock{{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Site: "site-r1z0"}})
+	alone := *ready
+	alone.View = NewView(testDocument(1), nil)
+	cases := []struct {
+		name     string
+		snapshot *Snapshot
+		method   string
+		target   string
+		status   int
+		problem  problem.Type
+	}{
+		{"answer", ready, "GET", "/v1/lookup?client=10.1.2.3", 200, ""},
+		{"zone", ready, "GET", "/v1/lookup?client=10.1.2.3&zone=r2z1", 200, ""},
+		{"no client", ready, "GET", "/v1/lookup", 400, problem.TypeBadRequest},
+		{"not an address", ready, "GET", "/v1/lookup?client=10.1.2.3/8", 400, problem.TypeBadRequest},
+		{"unknown zone", ready, "GET", "/v1/lookup?client=10.1.2.3&zone=x", 400, problem.TypeBadRequest},
+		{"method", ready, "POST", "/v1/lookup?client=10.1.2.3", 405, problem.TypeMethodNotAllowed},
+		{"no configuration", nil, "GET", "/v1/lookup?client=10.1.2.3", 503, problem.TypeNotReady},
+		{"no live instance", &alone, "GET", "/v1/lookup?client=10.1.2.3", 503, problem.TypeNotReady},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			(&Handler{Source: fixedSource{tc.snapshot}}).ServeHTTP(w, httptest.NewRequest(tc.method, tc.target, nil))
+			must.EqOp(t, tc.status, w.Code)
+			if tc.problem != "" {
+				var p problem.Document
+				must.NoError(t, json.Unmarshal(w.Body.Bytes(), &p))
+				must.EqOp(t, tc.problem, p.Type)
+				must.EqOp(t, problem.RanNo, p.Ran)
+				must.EqOp(t, tc.status == http.StatusServiceUnavailable, w.Header().Get("Retry-After") != "")
+				must.EqOp(t, "no-store", w.Header().Get("Cache-Control"))
+				return
+			}
+			var answer Answer
+			must.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+			must.EqOp(t, "max-age=5", w.Header().Get("Cache-Control"))
+			must.EqOp(t, "site-r1z0", answer.Site)
+			must.EqOp(t, answer.Zone, answer.Instances[0].Zone)
+			must.Len(t, MaxInstances, answer.Instances)
+		})
+	}
+}
+
+// discard is an http.ResponseWriter without a socket.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+func BenchmarkHandler(b *testing.B) {
+	forSizes(b, func(b *testing.B, n int) {
+		_, blocks := benchBlocks(n)
+		clients := benchClients(blocks)
+		for i := range blocks {
+			blocks[i].Site = "site-r1z0"
+		}
+		h := &Handler{Source: fixedSource{testSnapshot(b, blocks)}}
+		requests := make([]*http.Request, 1024)
+		for i := range requests {
+			requests[i] = httptest.NewRequest("GET", "/v1/lookup?client="+clients[i].String(), nil)
+		}
+		w := discard{header: make(http.Header)}
+		b.ReportAllocs()
+		i := 0
+		for b.Loop() {
+			h.ServeHTTP(w, requests[i&1023])
+			i++
+		}
+		perSecond(b)
+	})
+}
+
+// BenchmarkOrder orders the instances of the target scale: 24 zones, 8 regions,
+// 408 instances.
+func BenchmarkOrder(b *testing.B) {
+	doc := testDocument(3, 3, 3, 3, 3, 3, 3, 3)
+	view := NewView(doc, testMembers(doc, 17))
+	dst := make([]Instance, 0, MaxInstances)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		view.Order(dst, Place{Block: testBlock(i & 0xffff), Zone: "r3z1"})
+		i++
+	}
+	perSecond(b)
+}
+
+// BenchmarkViewBuild rebuilds the view of the target scale, as after each change
+// of the membership.
+func BenchmarkViewBuild(b *testing.B) {
+	doc := testDocument(3, 3, 3, 3, 3, 3, 3, 3)
+	members := testMembers(doc, 17)
+	b.ReportAllocs()
+	for b.Loop() {
+		NewView(doc, members)
+	}
+}
