--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,248 @@
+// Package entry puts the services of an entry instance together. It is what
+// jacinthrackd runs and what a program embeds.
+//
+// Each service is registered with the kernel under its name; the table in
+// docs/design.md lists them. Only wiring and adapters belong here: decisions are
+// made in the packages that the services wrap.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jacinthrack/jacinthrack/balancer"
+	"github.com/jacinthrack/jacinthrack/identity"
+	"github.com/jacinthrack/jacinthrack/kernel"
+	"github.com/jacinthrack/jacinthrack/peer"
+	"github.com/jacinthrack/jacinthrack/platform"
+	"github.com/jacinthrack/jacinthrack/platform/httpclient"
+	"github.com/jacinthrack/jacinthrack/settings"
+)
+
+// platformName is the name of the platform service in the kernel registry.
+const platformName = httpclient.ServiceName
+
+// Platform is the platform as an entry instance needs it.
+type Platform interface {
+	platform.Table
+	platform.Objects
+	platform.InstanceList
+}
+
+// PlatformService is a platform that can be registered with the kernel.
+type PlatformService interface {
+	kernel.Service
+	Platform
+}
+
+// Options configure an entry instance.
+type Options struct {
+	Settings settings.Entry
+	// Platform replaces the HTTP client. Its name must be that of the client.
+	Platform PlatformService
+	Log      *slog.Logger
+	// Registry collects the metrics. Nil means a new one.
+	Registry *prometheus.Registry
+	// OnSuperseded is called when a newer process has this instance's name. The
+	// process should then end. Nil means that it is only logged.
+	OnSuperseded func(error)
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	settings  settings.Entry
+	log       *slog.Logger
+	registry  *prometheus.Registry
+	kernel    *kernel.Registry
+	listeners listeners
+
+	members  *membership
+	config   *configuration
+	lookups  *lookups
+	limiter  *limiter
+	keys     *keyService
+	balancer *balancer.Balancer
+	peers    *peer.Service
+	gossip   *gossip
+}
+
+// listeners are opened before anything else, so that an address in use is found
+// before the instance registers.
+type listeners struct {
+	caller   net.Listener
+	operator net.Listener
+	peer     net.Listener
+}
+
+// New opens the listeners and registers the services. Start must follow. It
+// returns a *ListenError, a *peer.CertificateError or the errors of the kernel.
+func New(o Options) (*Entry, error) {
+	e := &Entry{settings: o.Settings, log: o.Log.With("instance", o.Settings.Name), registry: o.Registry}
+	if e.registry == nil {
+		e.registry = prometheus.NewRegistry()
+	}
+	e.kernel = kernel.New(e.log)
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	if err := e.register(o); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	return e, nil
+}
+
+// ListenError reports an address that cannot be listened on.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+func (e *Entry) listen() error {
+	targets := []struct {
+		address *string
+		into    *net.Listener
+	}{
+		{&e.settings.CallerAddress, &e.listeners.caller},
+		{&e.settings.OperatorAddress, &e.listeners.operator},
+		{&e.settings.PeerAddress, &e.listeners.peer},
+	}
+	for _, target := range targets {
+		listener, err := net.Listen("tcp", *target.address)
+		if err != nil {
+			e.closeListeners()
+			return &ListenError{Address: *target.address, Err: err}
+		}
+		*target.into = listener
+		// A port of 0 becomes the one that the system chose.
+		*target.address = listener.Addr().String()
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, listener := range []net.Listener{e.listeners.caller, e.listeners.operator, e.listeners.peer} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// register builds the services and adds them to the kernel.
+func (e *Entry) register(o Options) error {
+	store := o.Platform
+	if store == nil {
+		store = httpclient.New(e.settings.Platform)
+	}
+	onLost := o.OnSuperseded
+	if onLost == nil {
+		onLost = func(error) {}
+	}
+	self := identity.Config{
+		Name:          e.settings.Name,
+		Zone:          e.settings.Zone,
+		BootID:        identity.NewBootID(),
+		PeerAddress:   e.settings.PeerAddress,
+		CallerAddress: e.settings.CallerAddress,
+	}
+	e.members = newMembership(self, e.settings.Seeds, store, e.log, onLost)
+	e.config = newConfiguration(store, e.members.zoneLive, e.log)
+	e.lookups = &lookups{members: e.members, config: e.config, log: e.log}
+	e.limiter = newLimiter(self, store, e.config, e.log)
+	e.keys = newKeyService(self, store, e.members, e.log)
+	e.balancer = balancer.New(balancer.Options{
+		Name:     self.Name,
+		Zone:     self.Zone,
+		Members:  e.members.live,
+		Tokens:   e.limiter.Manager,
+		Registry: e.registry,
+		Log:      e.log,
+	})
+	e.gossip = &gossip{members: e.members, config: e.config, keys: e.keys, balancer: e.balancer, log: e.log}
+	peers, err := e.newPeers()
+	if err != nil {
+		return err
+	}
+	e.peers = peers
+	e.gossip.peers = peers
+	claimService := newClaimService(self, store, e.members, e.log)
+	services := []kernel.Service{
+		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.lookups, e.gossip, peers, claimService,
+		e.callerHTTP(claimService), e.operatorHTTP(),
+	}
+	for _, s := range services {
+		if err := e.kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Entry) newPeers() (*peer.Service, error) {
+	options := peer.Options{
+		Name:      e.settings.Name,
+		Zone:      e.settings.Zone,
+		Listener:  e.listeners.peer,
+		Knowledge: e.gossip,
+		Directory: e.members,
+		Log:       e.log,
+		Requires:  []string{gossipName},
+	}
+	if e.settings.TLS != nil {
+		certs, err := peer.LoadCertificates(*e.settings.TLS)
+		if err != nil {
+			return nil, err
+		}
+		options.TLS = certs
+	}
+	return peer.NewService(options), nil
+}
+
+// Start starts the instance. It returns the errors of the kernel.
+func (e *Entry) Start(ctx context.Context) error {
+	if err := e.kernel.Start(ctx); err != nil {
+		e.closeListeners()
+		return err
+	}
+	e.log.Info("entry instance started", "zone", e.settings.Zone, "caller_address", e.settings.CallerAddress,
+		"operator_address", e.settings.OperatorAddress, "peer_address", e.settings.PeerAddress)
+	return nil
+}
+
+// Shutdown drains the instance until ctx ends, then stops it. Requests in
+// progress finish if they can before ctx ends.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.log.Info("entry instance drains")
+	drainErr := e.kernel.Drain(ctx)
+	stopErr := e.stop()
+	if drainErr != nil {
+		return drainErr
+	}
+	return stopErr
+}
+
+// stopTimeout bounds the release of everything after the drain.
+const stopTimeout = 5 * time.Second
+
+func (e *Entry) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := e.kernel.Stop(ctx)
+	e.log.Info("entry instance stopped")
+	return err
+}
+
+// Settings returns the settings with the addresses that the instance listens on.
+func (e *Entry) Settings() settings.Entry { return e.settings }
+
+// Ready reports whether the instance can serve requests.
+func (e *Entry) Ready() bool { return e.lookups.Snapshot() != nil && !e.members.draining() }
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/jacinthrack/jacinthrack/balancer"
+	"github.com/jacinthrack/jacinthrack/claims"
+	"github.com/jacinthrack/jacinthrack/configstore"
+	"github.com/jacinthrack/jacinthrack/fairqueue"
+	"github.com/jacinthrack/jacinthrack/forward"
+	"github.com/jacinthrack/jacinthrack/identity"
+	"github.com/jacinthrack/jacinthrack/kernel"
+	"github.com/jacinthrack/jacinthrack/lookup"
+	"github.com/jacinthrack/jacinthrack/operatorapi"
+	"github.com/jacinthrack/jacinthrack/peer"
+)
+
+// Names in the kernel registry.
+const (
+	claimsName       = "claims.store"
+	callerHTTPName   = "callers.http"
+	operatorHTTPName = "operators.http"
+)
+
+// Paths outside the data path.
+const (
+	pathLookup  = "GET /v1/lookup"
+	pathMetrics = "GET /metrics"
+	pathLive    = "GET /livez"
+	pathReady   = "GET /readyz"
+)
+
+// claimService is the kernel service around a claims.Store.
+type claimService struct {
+	kernel.Base
+	store *claims.Store
+	log   *slog.Logger
+}
+
+func newClaimService(self identity.Config, store Platform, members *membership, log *slog.Logger) *claimService {
+	config := claims.Config{
+		Self:     claims.Claimant{Instance: self.Name, BootID: self.BootID},
+		Liveness: members.liveness,
+		Logger:   log,
+	}
+	return &claimService{store: claims.NewStore(config, store, store), log: log}
+}
+
+// Name implements kernel.Service.
+func (s *claimService) Name() string { return claimsName }
+
+// Requires implements kernel.Service.
+func (s *claimService) Requires() []string { return []string{membershipName} }
+
+// Stop implements kernel.Service. It waits for outcomes that are not stored yet.
+func (s *claimService) Stop(ctx context.Context) error { return s.store.Close(ctx) }
+
+// callerHTTP returns the service for look-ups and requests.
+func (e *Entry) callerHTTP(claimed *claimService) *httpService {
+	transport := forward.NewTransport()
+	limiter := fairqueue.NewLimiter(fairqueue.DefaultBounds(1))
+	e.config.Subscribe(func(s *configstore.Snapshot) {
+		limiter.SetBounds(admissionBounds(s))
+		e.balancer.SetConfig(s.Index, time.Now())
+	})
+	data := forward.New(forward.Options{
+		Config:     e.config.index,
+		Authorizer: e.keys,
+		Limiter:    &rateLimiter{manager: e.limiter.Manager},
+		Admission:  &admission{limiter: limiter},
+		Balancer:   e.balancer,
+		Claims:     &claimer{store: claimed.store, log: e.log},
+		Transport:  transport,
+		Metrics:    forward.NewMetrics(e.registry),
+		Log:        e.log,
+	})
+	return &httpService{
+		name:     callerHTTPName,
+		requires: []string{claimsName, lookupName, limitsName, keysName, balancer.ServiceName, peer.ServiceName},
+		listener: e.listeners.caller,
+		log:      e.log,
+		handler: func() http.Handler {
+			mux := http.NewServeMux()
+			mux.Handle(pathLookup, &lookup.Handler{Source: e.lookups})
+			mux.Handle(forward.PathPrefix, data)
+			mux.HandleFunc("/", notFound)
+			return mux
+		},
+		beforeDrain: e.beforeDrain,
+	}
+}
+
+// admissionBounds sizes the fair queue by the slots of all backend servers. The
+// balancer refuses what its region has no room for; the queue bounds memory and
+// keeps customers apart.
+func admissionBounds(s *configstore.Snapshot) fairqueue.Bounds {
+	slots := 0
+	for _, server := range s.Document().BackendServers {
+		slots += server.Slots
+	}
+	bounds := fairqueue.DefaultBounds(max(1, slots))
+	if wait := s.Document().Policy.QueueWait.Std(); wait > 0 {
+		bounds.MaxWait = wait
+	}
+	return bounds
+}
+
+// beforeDrain takes the instance out of look-ups and waits until the answers that
+// still name it have expired, so that callers have moved on before connections
+// are refused.
+func (e *Entry) beforeDrain(ctx context.Context) {
+	// The membership drains after this service, since this one depends on it.
+	if err := e.members.Drain(ctx); err != nil {
+		e.log.Warn("drain was not announced", "error", err)
+	}
+	e.lookups.refresh()
+	wait := time.Duration(0)
+	if snapshot := e.lookups.Snapshot(); snapshot != nil {
+		wait = snapshot.MaxAge
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// operatorHTTP returns the service for operators, metrics and health.
+func (e *Entry) operatorHTTP() *httpService {
+	return &httpService{
+		name:     operatorHTTPName,
+		requires: []string{callerHTTPName},
+		listener: e.listeners.operator,
+		log:      e.log,
+		handler: func() http.Handler {
+			mux := http.NewServeMux()
+			mux.Handle("/v1/", operatorapi.NewHandler(&operator{entry: e}, e.settings.OperatorToken))
+			mux.Handle(pathMetrics, promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}))
+			mux.HandleFunc(pathLive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+			mux.HandleFunc(pathReady, e.serveReady)
+			mux.HandleFunc("/", notFound)
+			return mux
+		},
+	}
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
