--- /dev/null
+++ b/keys/follower.go
@@ -0,0 +1,240 @@
+package keys
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/platform"
+	"github.com/jacinthrack/jacinthrack/platform/poll"
+)
+
+// Defaults of FollowerOptions.
+const (
+	// DefaultCallTimeout bounds one poll or one write of a pending withdrawal.
+	DefaultCallTimeout = 2 * time.Second
+	// summaryWindow is the age up to which digests count in zone summaries.
+	// Digests come once a second, and a summary has to arrive within the shortest
+	// common staleness bound of 5 s.
+	summaryWindow = 3 * time.Second
+)
+
+// FollowerOptions are the parameters of a Follower. All but Now, CallTimeout and
+// ColdStart are required.
+type FollowerOptions struct {
+	Table  platform.Table
+	Name   string // of the entry instance
+	Zone   string
+	Boot   uint64     // identifies the process
+	Live   func() int // live entry instances in the own availability zone
+	Random *rand.Rand // used by Run only
+	Log    *slog.Logger
+
+	Now         func() time.Time // monotonic clock, default time.Now
+	CallTimeout time.Duration
+	// ColdStart says that no other instance has key data, see
+	// Freshness.DeclareComplete.
+	ColdStart bool
+}
+
+// Follower keeps the key data of one entry instance up to date. It is safe for
+// concurrent use.
+type Follower struct {
+	options FollowerOptions
+	store   *Store
+	set     *Set
+	polling chan struct{} // held by the one poll in progress
+
+	mu        sync.Mutex // guards freshness and total
+	freshness *Freshness
+	total     int // listed instances
+	// platform is the time of the newest platform state when the instance is
+	// complete, for the request path.
+	platform atomic.Pointer[time.Time]
+}
+
+// NewFollower returns a follower without keys.
+func NewFollower(options FollowerOptions) *Follower {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.CallTimeout == 0 {
+		options.CallTimeout = DefaultCallTimeout
+	}
+	f := &Follower{
+		options:   options,
+		store:     NewStore(options.Table),
+		set:       NewSet(),
+		polling:   make(chan struct{}, 1),
+		freshness: NewFreshness(options.Name, options.Zone, options.Now()),
+	}
+	if options.ColdStart {
+		f.freshness.DeclareComplete()
+	}
+	return f
+}
+
+// Set returns the key data.
+func (f *Follower) Set() *Set { return f.set }
+
+// SetListed sets the entry instances on the last known list, leaving ones included.
+func (f *Follower) SetListed(instances []platform.Instance) {
+	listed := make(map[string]string, len(instances))
+	for _, i := range instances {
+		listed[i.Name] = i.Zone
+	}
+	f.update(func() {
+		f.freshness.SetListed(listed)
+		f.total = len(listed)
+	})
+}
+
+// update changes the freshness and publishes what the request path needs.
+func (f *Follower) update(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	if f.freshness.Complete() {
+		platform := f.freshness.platform
+		f.platform.Store(&platform)
+	}
+}
+
+// Fresh reports whether keys may be accepted on a route with the staleness bound.
+func (f *Follower) Fresh(bound time.Duration) bool {
+	now := f.options.Now()
+	if asOf := f.platform.Load(); asOf != nil && now.Sub(*asOf) <= bound {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshness.Fresh(now, bound, f.total)
+}
+
+// Check returns the customer of a key that may be used on the route now. It
+// returns *NotFreshError or the errors of Set.Verify. It is called on arrival of
+// a request and again before dispatch.
+func (f *Follower) Check(presented, route string, bound time.Duration) (customer string, err error) {
+	// Freshness comes first: data that is fresh now can only have grown when the
+	// key is looked up.
+	fresh := f.Fresh(bound)
+	customer, err = f.set.Verify(presented, route)
+	var unknown *UnknownKeyError
+	if !fresh && (err == nil || errors.As(err, &unknown)) {
+		return "", &NotFreshError{Bound: bound}
+	}
+	return customer, err
+}
+
+// Run polls the platform until ctx is done and writes pending withdrawals after
+// each poll that succeeds. With n live instances in the zone the period is n
+// seconds.
+func (f *Follower) Run(ctx context.Context) {
+	poll.Loop(ctx, f.options.Live, f.options.Random, func(ctx context.Context) {
+		err := f.Poll(ctx)
+		if err == nil {
+			err = f.WritePending(ctx)
+		}
+		if err != nil {
+			f.options.Log.Warn("key poll failed", "error", err)
+		}
+	})
+}
+
+// Poll brings the key data up to date. It reads one row when nothing changed, and
+// one more row per change. After LogKeep changes, and at the first poll, it reads
+// all records. It returns *platform.UnavailableError, *StaleReadError or
+// *RowError.
+func (f *Follower) Poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
+	defer cancel()
+	select {
+	case f.polling <- struct{}{}:
+	case <-ctx.Done():
+		return &platform.UnavailableError{Op: "read", Err: ctx.Err()}
+	}
+	defer func() { <-f.polling }()
+	asOf := f.options.Now()
+	generation, err := f.store.Generation(ctx)
+	if err != nil {
+		return err
+	}
+	if err := f.advance(ctx, generation); err != nil {
+		return err
+	}
+	f.update(func() { f.freshness.PlatformRead(asOf) })
+	return nil
+}
+
+// advance loads the changes up to a generation of the platform.
+func (f *Follower) advance(ctx context.Context, generation uint64) error {
+	known := f.set.Generation()
+	if generation < known {
+		return &StaleReadError{Read: generation, Known: known}
+	}
+	for f.set.Generation() < generation {
+		before := f.set.Generation()
+		if before == 0 || generation-before > LogKeep {
+			return f.loadAll(ctx, generation)
+		}
+		changes, err := f.store.Changes(ctx, before)
+		if err != nil {
+			return err
+		}
+		if !f.set.Advance(changes) {
+			return f.loadAll(ctx, generation)
+		}
+		if f.set.Generation() == before {
+			return &StaleReadError{Read: before, Known: generation}
+		}
+	}
+	return nil
+}
+
+func (f *Follower) loadAll(ctx context.Context, generation uint64) error {
+	state, err := f.store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	if state.Generation < generation {
+		return &StaleReadError{Read: state.Generation, Known: generation}
+	}
+	f.set.Import(state)
+	return nil
+}
+
+// WritePending writes the pending withdrawals to the platform. They stay pending
+// until a poll has read them back. It returns the errors of Store.Withdraw.
+func (f *Follower) WritePending(ctx context.Context) error {
+	for _, w := range f.set.PendingWithdrawals() {
+		if err := f.write(ctx, w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Follower) write(ctx context.Context, w Withdrawal) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
+	defer cancel()
+	_, err := f.store.Withdraw(ctx, w)
+	return err
+}
+
+// Withdraw makes a key invalid on this instance at once and then writes the
+// withdrawal to the platform. When the write fails, the withdrawal stays pending,
+// and the error is that of Store.Withdraw.
+func (f *Follower) Withdraw(ctx context.Context, w Withdrawal) error {
+	f.set.ApplyWithdrawals([]Withdrawal{w})
+	return f.write(ctx, w)
+}
+
+// ApplyWithdrawals applies withdrawals that a peer announced.
+func (f *Follower) ApplyWithdrawals(list []Withdrawal) { f.set.ApplyWithdrawals(list) }
+
+// PendingWithdrawals returns the withdrawals that the platform has not confirmed.
+func (f *Follower) PendingWithdrawals() []Withdrawal { return f.set.PendingWithdrawals() }
--- /dev/null
+++ b/keys/freshness.go
@@ -0,0 +1,306 @@
+package keys
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// ZoneSummary says how many instances of an availability zone were heard, and how
+// old the oldest of their digests is.
+type ZoneSummary struct {
+	Zone  string
+	Heard int
+	Age   time.Duration
+}
+
+// Hearing is a digest of a peer as far as freshness depends on it. It counts only
+// after everything in the digest is known to the receiver: its pending
+// withdrawals, and records of at least its key generation.
+type Hearing struct {
+	Name string
+	Zone string
+	Boot uint64 // identifies the process of the peer
+	// Complete says that the peer's key data is complete, see Freshness.Complete.
+	Complete bool
+	// AsOf is a reading of the own monotonic clock before the peer made the
+	// digest: when the request was sent that the digest answers. The arrival time
+	// of a digest must not be used, since a digest can wait for a long time in
+	// the network or in a paused process.
+	AsOf time.Time
+	// Received is a reading of the own monotonic clock when the digest arrived.
+	Received time.Time
+	// PlatformAge is the age of the newest platform read that the peer knows of,
+	// when the peer made the digest.
+	PlatformAge   time.Duration
+	PlatformKnown bool
+	Zones         []ZoneSummary
+}
+
+// Freshness tracks how old the key data of an instance is. All times are readings
+// of the instance's own monotonic clock, so ages include the time in which the
+// process was paused. It is not safe for concurrent use.
+type Freshness struct {
+	self     string
+	zone     string
+	boot     time.Time
+	listed   map[string]string // instance to zone, from the last known list
+	platform time.Time         // the key data contains the platform's state at this time
+	heard    map[string]Hearing
+	// firstSeen is when the present process of a peer was first heard from.
+	firstSeen map[string]time.Time
+	summaries map[string][]summary // of other zones
+	complete  bool
+}
+
+// summary says that a number of instances of a zone were heard since a time.
+type summary struct {
+	count int
+	asOf  time.Time
+}
+
+// NewFreshness returns the freshness of an instance that started at boot.
+func NewFreshness(self, zone string, boot time.Time) *Freshness {
+	return &Freshness{
+		self:      self,
+		zone:      zone,
+		boot:      boot,
+		heard:     make(map[string]Hearing),
+		firstSeen: make(map[string]time.Time),
+		summaries: make(map[string][]summary),
+	}
+}
+
+// SetListed sets the instances on the last known list and their zones.
+func (f *Freshness) SetListed(listed map[string]string) {
+	f.listed = maps.Clone(listed)
+	if f.listed == nil {
+		f.listed = make(map[string]string)
+	}
+	unlisted := func(name string) bool { return f.listed[name] == "" }
+	maps.DeleteFunc(f.heard, func(name string, _ Hearing) bool { return unlisted(name) })
+	maps.DeleteFunc(f.firstSeen, func(name string, _ time.Time) bool { return unlisted(name) })
+	f.evaluate()
+}
+
+// PlatformRead records that the key data contains the platform's state at asOf, a
+// reading of the clock before the read was sent.
+func (f *Freshness) PlatformRead(asOf time.Time) {
+	f.platformKnown(asOf)
+	f.evaluate()
+}
+
+func (f *Freshness) platformKnown(asOf time.Time) {
+	if asOf.After(f.platform) {
+		f.platform = asOf
+	}
+}
+
+// Hear records a digest of a peer.
+func (f *Freshness) Hear(h Hearing) {
+	old, known := f.heard[h.Name]
+	if !known || old.Boot != h.Boot {
+		f.firstSeen[h.Name] = h.Received
+	}
+	if !known || h.AsOf.After(old.AsOf) {
+		f.heard[h.Name] = h
+	}
+	if h.PlatformKnown {
+		f.platformKnown(h.AsOf.Add(-h.PlatformAge))
+	}
+	for _, z := range h.Zones {
+		f.addSummary(z.Zone, summary{count: z.Heard, asOf: h.AsOf.Add(-z.Age)})
+	}
+	f.evaluate()
+}
+
+// addSummary keeps a summary unless another one is as new and as large. At most
+// one summary per count remains.
+func (f *Freshness) addSummary(zone string, s summary) {
+	if zone == f.zone || s.count <= 0 {
+		return // the own zone is heard directly
+	}
+	list := f.summaries[zone]
+	for _, old := range list {
+		if old.count >= s.count && !old.asOf.Before(s.asOf) {
+			return
+		}
+	}
+	list = slices.DeleteFunc(list, func(old summary) bool {
+		return old.count <= s.count && !old.asOf.After(s.asOf)
+	})
+	f.summaries[zone] = append(list, s)
+}
+
+// count returns the number of other complete instances that were heard at since
+// or later. Zones are disjoint, so their counts add up.
+func (f *Freshness) count(since time.Time) int {
+	direct := f.directCounts(since)
+	total := 0
+	for zone, size := range f.zoneSizes() {
+		best := direct[zone]
+		for _, s := range f.summaries[zone] {
+			if !s.asOf.Before(since) {
+				best = max(best, min(s.count, size))
+			}
+		}
+		total += best
+	}
+	return total
+}
+
+// directCounts counts the listed instances per zone that were heard directly.
+func (f *Freshness) directCounts(since time.Time) map[string]int {
+	counts := make(map[string]int)
+	for name, h := range f.heard {
+		zone, listed := f.listed[name]
+		if listed && name != f.self && h.Complete && !h.AsOf.Before(since) {
+			counts[zone]++
+		}
+	}
+	return counts
+}
+
+// zoneSizes counts the other listed instances per zone.
+func (f *Freshness) zoneSizes() map[string]int {
+	sizes := make(map[string]int)
+	for name, zone := range f.listed {
+		if name != f.self {
+			sizes[zone]++
+		}
+	}
+	return sizes
+}
+
+// Complete reports whether the instance has recovered everything that its name
+// may have confirmed before a restart. Until then it is not fresh, and it does
+// not count as heard for others.
+//
+// Without this rule a restarted instance loses the withdrawals that it had
+// confirmed while the platform was down, reads a platform that does not have them
+// yet, and accepts a key that was reported as withdrawn everywhere.
+//
+// An instance is complete after it has heard more than half of the listed
+// instances, or after it knows the platform's state since its start and has heard
+// one complete instance. When no instance is complete, as at the first start of
+// all, knowledge of the platform is enough once all listed instances were heard
+// to be incomplete at the same time.
+func (f *Freshness) Complete() bool { return f.complete }
+
+// DeclareComplete skips the recovery. An operator does this when all other
+// instances are known to have no key data, for example at the first start.
+func (f *Freshness) DeclareComplete() { f.complete = true }
+
+func (f *Freshness) evaluate() {
+	if f.complete || f.listed == nil {
+		return
+	}
+	if 2*f.count(f.boot) > len(f.listed) {
+		f.complete = true
+		return
+	}
+	if !f.platform.IsZero() && !f.platform.Before(f.boot) {
+		f.complete = f.heardComplete() || f.allIncomplete()
+	}
+}
+
+func (f *Freshness) heardComplete() bool {
+	for name, h := range f.heard {
+		if f.listed[name] != "" && h.Complete && !h.AsOf.Before(f.boot) {
+			return true
+		}
+	}
+	return false
+}
+
+// allIncomplete reports whether there was a moment at which all other listed
+// instances were incomplete. A process that is incomplete in its newest digest was
+// so since it was first seen.
+func (f *Freshness) allIncomplete() bool {
+	var begin, end time.Time
+	for name := range f.listed {
+		if name == f.self {
+			continue
+		}
+		h, known := f.heard[name]
+		if !known || h.Complete {
+			return false
+		}
+		if first := f.firstSeen[name]; first.After(begin) {
+			begin = first
+		}
+		if end.IsZero() || h.AsOf.Before(end) {
+			end = h.AsOf
+		}
+	}
+	return !begin.After(end)
+}
+
+// PlatformAge returns the age of the newest platform state that the key data
+// contains, for digests. It returns false when there is none.
+func (f *Freshness) PlatformAge(now time.Time) (time.Duration, bool) {
+	return now.Sub(f.platform), !f.platform.IsZero()
+}
+
+// Fresh reports whether keys may be accepted under a staleness bound: the instance
+// is complete, and either the platform's state within the bound is known or more
+// than half of totalInstances, the instance itself included, were heard within
+// the bound. totalInstances is the length of the last known list.
+func (f *Freshness) Fresh(now time.Time, bound time.Duration, totalInstances int) bool {
+	if !f.complete {
+		return false
+	}
+	since := now.Add(-bound)
+	if !f.platform.IsZero() && !f.platform.Before(since) {
+		return true
+	}
+	return totalInstances > 0 && 2*(f.count(since)+f.own()) > totalInstances
+}
+
+// own returns 1 if the instance is on the list.
+func (f *Freshness) own() int {
+	if f.listed[f.self] == "" {
+		return 0
+	}
+	return 1
+}
+
+// Summaries returns what to tell peers: for the own zone the complete instances
+// heard within the window, the instance itself included if it is complete, and for
+// each other zone the largest number heard within the window.
+func (f *Freshness) Summaries(now time.Time, window time.Duration) []ZoneSummary {
+	since := now.Add(-window)
+	var list []ZoneSummary
+	for zone, known := range f.summaries {
+		var best summary
+		for _, s := range known {
+			if !s.asOf.Before(since) && s.count > best.count {
+				best = s
+			}
+		}
+		if best.count > 0 {
+			list = append(list, ZoneSummary{Zone: zone, Heard: best.count, Age: now.Sub(best.asOf)})
+		}
+	}
+	if own := f.ownZone(now, since); own.Heard > 0 {
+		list = append(list, own)
+	}
+	slices.SortFunc(list, func(a, b ZoneSummary) int { return cmp.Compare(a.Zone, b.Zone) })
+	return list
+}
+
+func (f *Freshness) ownZone(now, since time.Time) ZoneSummary {
+	own := ZoneSummary{Zone: f.zone}
+	if f.complete && f.own() == 1 {
+		own.Heard = 1
+	}
+	for name, h := range f.heard {
+		if f.listed[name] != f.zone || name == f.self || !h.Complete || h.AsOf.Before(since) {
+			continue
+		}
+		own.Heard++
+		own.Age = max(own.Age, now.Sub(h.AsOf))
+	}
+	return own
+}
