entry: serve requests end to end in separate processes

Cause: the parts were built and not joined.

Digests that answer a request carry ages and grants; those sent on an instance's own account do not, since they may have been delayed for any time.

Found: for some seconds after the first configuration five of seven instances refuse requests within their customer's rate, since they hold no share of it yet.

--- /dev/null
+++ b/entry/gossip.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/balancer"
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/configstore"
+	"github.com/jacinthrack/jacinthrack/kernel"
+	"github.com/jacinthrack/jacinthrack/keys"
+	"github.com/jacinthrack/jacinthrack/peer"
+	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+)
+
+// gossipName is the name in the kernel registry.
+const gossipName = "gossip"
+
+// catchUpTimeout bounds the fetch of key records after a digest showed that a
+// peer has newer ones.
+const catchUpTimeout = 3 * time.Second
+
+// gossip builds digests from what the services know and merges those of peers.
+// It implements peer.Knowledge.
+type gossip struct {
+	kernel.Base
+	members  *membership
+	config   *configuration
+	keys     *keyService
+	balancer *balancer.Balancer
+	peers    *peer.Service
+	log      *slog.Logger
+}
+
+// Name implements kernel.Service.
+func (g *gossip) Name() string { return gossipName }
+
+// Requires implements kernel.Service.
+func (g *gossip) Requires() []string {
+	return []string{membershipName, configurationName, keysName, balancer.ServiceName}
+}
+
+// Digest implements peer.Knowledge.
+func (g *gossip) Digest(to peer.Recipient) *peerpb.Digest {
+	now := time.Now()
+	known := g.keys.Digest()
+	d := &peerpb.Digest{
+		Sender:             g.members.sender(),
+		Config:             g.configVersion(),
+		KeyGeneration:      known.Generation,
+		PendingWithdrawals: withdrawalsToProto(known.Pending),
+		Quarantined:        g.balancer.Quarantined(now),
+	}
+	sameRegion := g.balancer.SameRegion(to.Zone)
+	if sameRegion {
+		d.Servers = g.balancer.Loads()
+	}
+	if !to.Reply {
+		return d
+	}
+	d.Complete = known.Complete
+	d.Zones = summariesToProto(known.Zones)
+	if known.PlatformKnown {
+		age := uint32(known.PlatformAge.Milliseconds()) + 1
+		d.PlatformAgeMs = &age
+	}
+	if !sameRegion {
+		d.Reservations = g.balancer.Grants(to.Name, now)
+	}
+	return d
+}
+
+func (g *gossip) configVersion() *peerpb.ConfigVersion {
+	generation, manifest := g.config.Version()
+	return &peerpb.ConfigVersion{Generation: generation, ManifestSha256: manifest[:]}
+}
+
+// MergeReply implements peer.Knowledge.
+func (g *gossip) MergeReply(ctx context.Context, d *peerpb.Digest, roundTrip time.Duration) {
+	received := time.Now()
+	g.mergeCommon(ctx, d, roundTrip)
+	g.balancer.MergeGrants(d.GetSender().GetName(), d.GetReservations(), roundTrip, received)
+	g.mergeKeys(ctx, d, received.Add(-roundTrip))
+}
+
+// MergeRequest implements peer.Knowledge.
+func (g *gossip) MergeRequest(d *peerpb.Digest) {
+	g.keys.ApplyWithdrawals(withdrawalsFromProto(d.GetPendingWithdrawals()))
+	g.mergeCommon(context.Background(), d, 0)
+}
+
+// mergeCommon merges what a late message cannot turn into a wrong decision.
+func (g *gossip) mergeCommon(ctx context.Context, d *peerpb.Digest, delay time.Duration) {
+	now := time.Now()
+	g.members.heard(d.GetSender())
+	g.balancer.MergeQuarantined(d.GetQuarantined(), delay, now)
+	if g.balancer.SameRegion(d.GetSender().GetZone()) {
+		g.balancer.MergeLoads(d.GetSender().GetName(), d.GetServers(), delay, now)
+	}
+	g.offer(ctx, d.GetSender().GetName(), d.GetConfig())
+}
+
+// mergeKeys takes the sender's key data and counts it as heard.
+func (g *gossip) mergeKeys(ctx context.Context, d *peerpb.Digest, asOf time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	digest := keys.Digest{
+		Name:          d.GetSender().GetName(),
+		Zone:          d.GetSender().GetZone(),
+		Boot:          d.GetSender().GetBootId(),
+		Generation:    d.GetKeyGeneration(),
+		Complete:      d.GetComplete(),
+		PlatformKnown: d.PlatformAgeMs != nil,
+		PlatformAge:   time.Duration(d.GetPlatformAgeMs()) * time.Millisecond,
+		Zones:         summariesFromProto(d.GetZones()),
+		Pending:       withdrawalsFromProto(d.GetPendingWithdrawals()),
+	}
+	err := g.keys.CatchUp(ctx, digest, asOf, func(ctx context.Context) (keys.State, error) {
+		reply, err := g.peers.FetchState(ctx, d.GetSender().GetPeerAddress())
+		return stateFromProto(reply), err
+	})
+	if err != nil {
+		g.log.Warn("key records were not fetched", "peer", digest.Name, "error", err)
+	}
+}
+
+// offer puts a newer configuration of a peer in force.
+func (g *gossip) offer(ctx context.Context, source string, version *peerpb.ConfigVersion) {
+	generation, _ := g.config.Version()
+	if version.GetGeneration() <= generation {
+		return
+	}
+	manifest, ok := hashOf(version.GetManifestSha256())
+	if !ok {
+		return
+	}
+	err := g.config.Offer(ctx, configstore.Offer{
+		Generation: version.GetGeneration(),
+		Manifest:   manifest,
+		Source:     source,
+		Fetch: func(ctx context.Context, h config.Hash) ([]byte, error) {
+			return g.peers.FetchSection(ctx, h[:])
+		},
+	})
+	if err != nil {
+		g.log.Warn("configuration offer was not taken", "peer", source, "generation", version.GetGeneration(), "error", err)
+	}
+}
+
+// Announced implements peer.Knowledge.
+func (g *gossip) Announced(ctx context.Context, a *peerpb.Announcement) *peerpb.Confirmation {
+	g.keys.ApplyWithdrawals(withdrawalsFromProto(a.GetWithdrawals()))
+	if wanted := a.GetConfig().GetGeneration(); wanted > 0 {
+		g.offer(ctx, a.GetSender().GetName(), a.GetConfig())
+		generation, _ := g.config.Version()
+		if generation < wanted {
+			return nil
+		}
+	}
+	return g.confirmation()
+}
+
+func (g *gossip) confirmation() *peerpb.Confirmation {
+	return &peerpb.Confirmation{Name: g.members.self.Name, BootId: g.members.self.BootID}
+}
+
+// Section implements peer.Knowledge.
+func (g *gossip) Section(sha256 []byte) ([]byte, bool) {
+	hash, ok := hashOf(sha256)
+	if !ok {
+		return nil, false
+	}
+	data, err := g.config.Section(hash)
+	return data, err == nil
+}
+
+// State implements peer.Knowledge.
+func (g *gossip) State() *peerpb.StateReply { return stateToProto(g.keys.Export()) }
+
+func hashOf(sha256 []byte) (config.Hash, bool) {
+	var hash config.Hash
+	if len(sha256) != len(hash) {
+		return hash, false
+	}
+	copy(hash[:], sha256)
+	return hash, true
+}
+
+func summariesToProto(list []keys.ZoneSummary) []*peerpb.ZoneSummary {
+	out := make([]*peerpb.ZoneSummary, 0, len(list))
+	for _, z := range list {
+		// Rounding up never makes knowledge look fresher than it is.
+		out = append(out, &peerpb.ZoneSummary{Zone: z.Zone, Heard: uint32(z.Heard), AgeMs: uint32(z.Age.Milliseconds()) + 1})
+	}
+	return out
+}
+
+func summariesFromProto(list []*peerpb.ZoneSummary) []keys.ZoneSummary {
+	out := make([]keys.ZoneSummary, 0, len(list))
+	for _, z := range list {
+		out = append(out, keys.ZoneSummary{Zone: z.GetZone(), Heard: int(z.GetHeard()), Age: time.Duration(z.GetAgeMs()) * time.Millisecond})
+	}
+	return out
+}
--- a/entry/services.go
+++ b/entry/services.go
@@ -81,7 +81,7 @@
 	})
 	return &httpService{
 		name:     callerHTTPName,
-		requires: []string{claimsName, lookupName, limitsName, keysName, balancer.ServiceName, peer.ServiceName},
+		requires: []string{claimsName, operatorHTTPName},
 		listener: e.listeners.caller,
 		log:      e.log,
 		handler: func() http.Handler {
@@ -135,7 +135,8 @@
 func (e *Entry) operatorHTTP() *httpService {
 	return &httpService{
 		name:     operatorHTTPName,
-		requires: []string{callerHTTPName},
+		// Operators can look at an instance until its requests have finished.
+		requires: []string{lookupName, limitsName, keysName, balancer.ServiceName, peer.ServiceName},
 		listener: e.listeners.operator,
 		log:      e.log,
 		handler: func() http.Handler {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -42,10 +42,10 @@
 	zone, remote := split(instances, s.zone)
 	var calls sync.WaitGroup
 	for _, in := range rotate(zone, turn, ZoneFanout) {
-		calls.Go(func() { s.exchange(ctx, in, ScopeZone) })
+		calls.Go(func() { s.exchange(ctx, in) })
 	}
 	for _, in := range rotate(remote, turn, remoteFanout(len(instances))) {
-		calls.Go(func() { s.exchange(ctx, in, ScopeRemote) })
+		calls.Go(func() { s.exchange(ctx, in) })
 	}
 	calls.Wait()
 }
@@ -66,8 +66,8 @@
 	return s.turn
 }
 
-func (s *Service) exchange(ctx context.Context, in Instance, scope Scope) {
-	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
+func (s *Service) exchange(ctx context.Context, in Instance) {
+	call, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
 	client, err := s.client(in.Address)
 	if err != nil {
@@ -75,12 +75,12 @@
 		return
 	}
 	sent := time.Now()
-	reply, err := client.Exchange(ctx, s.knowledge.Digest(scope, in.Name, false))
+	reply, err := client.Exchange(call, s.knowledge.Digest(Recipient{Name: in.Name, Zone: in.Zone}))
 	if err != nil {
 		s.log.Debug("peer exchange failed", "peer", in.Name, "error", err)
 		return
 	}
-	s.knowledge.MergeReply(reply, time.Since(sent))
+	s.knowledge.MergeReply(ctx, reply, time.Since(sent))
 }
 
 // split separates the instances of a zone from the others, in a stable order.
@@ -128,11 +128,11 @@
 }
 
 // Announce sends an announcement to every instance: to the zone directly, and to
-// one instance of each other zone, which passes it on. It returns the names of
-// the instances that confirmed it.
-func (s *Service) Announce(ctx context.Context, a *peerpb.Announcement) []string {
+// one instance of each other zone, which passes it on. It returns the
+// confirmations, ordered by instance.
+func (s *Service) Announce(ctx context.Context, a *peerpb.Announcement) []*peerpb.Confirmation {
 	zone, remote := split(s.directory.Instances(), s.zone)
-	results := make(chan []string)
+	results := make(chan []*peerpb.Confirmation)
 	var calls sync.WaitGroup
 	for _, in := range zone {
 		calls.Go(func() { results <- s.announce(ctx, in, a, 0) })
@@ -144,22 +144,22 @@
 		calls.Wait()
 		close(results)
 	}()
-	var confirmed []string
-	for names := range results {
-		confirmed = append(confirmed, names...)
+	var confirmed []*peerpb.Confirmation
+	for part := range results {
+		confirmed = append(confirmed, part...)
 	}
-	sort.Strings(confirmed)
+	sort.Slice(confirmed, func(i, j int) bool { return confirmed[i].GetName() < confirmed[j].GetName() })
 	return confirmed
 }
 
 // announceInZone sends an announcement to the other instances of this zone.
-func (s *Service) announceInZone(ctx context.Context, a *peerpb.Announcement) []string {
+func (s *Service) announceInZone(ctx context.Context, a *peerpb.Announcement) []*peerpb.Confirmation {
 	zone, _ := split(s.directory.Instances(), s.zone)
-	results := make(chan []string, len(zone))
+	results := make(chan []*peerpb.Confirmation, len(zone))
 	for _, in := range zone {
 		go func() { results <- s.announce(ctx, in, a, 0) }()
 	}
-	var confirmed []string
+	var confirmed []*peerpb.Confirmation
 	for range zone {
 		confirmed = append(confirmed, <-results...)
 	}
@@ -167,7 +167,7 @@
 }
 
 // announceToZone sends an announcement to the first instance of a zone that takes it.
-func (s *Service) announceToZone(ctx context.Context, members []Instance, a *peerpb.Announcement) []string {
+func (s *Service) announceToZone(ctx context.Context, members []Instance, a *peerpb.Announcement) []*peerpb.Confirmation {
 	for i, in := range members {
 		if i == zoneAttempts {
 			break
@@ -179,7 +179,7 @@
 	return nil
 }
 
-func (s *Service) announce(ctx context.Context, in Instance, a *peerpb.Announcement, hops uint32) []string {
+func (s *Service) announce(ctx context.Context, in Instance, a *peerpb.Announcement, hops uint32) []*peerpb.Confirmation {
 	ctx, cancel := context.WithTimeout(ctx, AnnounceTimeout)
 	defer cancel()
 	client, err := s.client(in.Address)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -44,32 +44,32 @@
 	Address string // IP:port
 }
 
-// Scope says how much of the local knowledge a digest carries.
-type Scope int
-
-// Scopes.
-const (
-	ScopeZone   Scope = iota // the peer is in the same availability zone
-	ScopeRemote              // the peer is in another availability zone
-)
+// Recipient is the instance that a digest is made for.
+type Recipient struct {
+	Name string
+	Zone string
+	// Reply is set when the digest answers the recipient's own request. Only
+	// such a digest may carry ages and grants: the recipient knows an upper bound
+	// of its delay.
+	Reply bool
+}
 
 // Knowledge builds and merges the messages between instances. Its methods are
 // called concurrently.
 type Knowledge interface {
-	// Digest returns the local digest for the instance named to. reply is set
-	// when it answers that instance's request.
-	Digest(scope Scope, to string, reply bool) *peerpb.Digest
+	// Digest returns the local digest for a recipient.
+	Digest(to Recipient) *peerpb.Digest
 
 	// MergeReply merges the reply to an exchange. Ages in it are at most
 	// roundTrip too low.
-	MergeReply(d *peerpb.Digest, roundTrip time.Duration)
+	MergeReply(ctx context.Context, d *peerpb.Digest, roundTrip time.Duration)
 
 	// MergeRequest merges a digest that a peer sent on its own. Its ages cannot
 	// be trusted, since the message may have been delayed for any time.
 	MergeRequest(d *peerpb.Digest)
 
-	// Announced takes an announcement and reports whether it is in force here.
-	Announced(ctx context.Context, a *peerpb.Announcement) bool
+	// Announced takes an announcement and confirms it if it is in force here.
+	Announced(ctx context.Context, a *peerpb.Announcement) *peerpb.Confirmation
 
 	// Section returns a section of the configuration.
 	Section(sha256 []byte) ([]byte, bool)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -34,11 +34,11 @@
 	refuse    bool
 }
 
-func (k *fakeKnowledge) Digest(Scope, string, bool) *peerpb.Digest {
+func (k *fakeKnowledge) Digest(Recipient) *peerpb.Digest {
 	return &peerpb.Digest{Sender: &peerpb.Sender{Name: k.name, Zone: k.zone}}
 }
 
-func (k *fakeKnowledge) MergeReply(d *peerpb.Digest, _ time.Duration) {
+func (k *fakeKnowledge) MergeReply(_ context.Context, d *peerpb.Digest, _ time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.replies = append(k.replies, d.GetSender().GetName())
@@ -50,11 +50,14 @@
 	k.requests = append(k.requests, d.GetSender().GetName())
 }
 
-func (k *fakeKnowledge) Announced(context.Context, *peerpb.Announcement) bool {
+func (k *fakeKnowledge) Announced(context.Context, *peerpb.Announcement) *peerpb.Confirmation {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.announced++
-	return !k.refuse
+	if k.refuse {
+		return nil
+	}
+	return &peerpb.Confirmation{Name: k.name}
 }
 
 func (k *fakeKnowledge) Section([]byte) ([]byte, bool) { return []byte("section"), true }
@@ -108,12 +111,22 @@
 	return f
 }
 
+// announce returns the names of the instances that confirm an announcement.
+func (f *fleet) announce(t *testing.T, from string) []string {
+	t.Helper()
+	var confirmed []string
+	for _, c := range f.services[from].Announce(t.Context(), &peerpb.Announcement{}) {
+		confirmed = append(confirmed, c.GetName())
+	}
+	return confirmed
+}
+
 // Guards against announcements that miss a zone or an instance, and against
 // confirmations of instances that did not take them.
 func TestAnnounceReachesEveryInstance(t *testing.T) {
 	f := newFleet(t, map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c"}, nil)
 	f.knowledge["b2"].refuse = true
-	confirmed := f.services["a1"].Announce(t.Context(), &peerpb.Announcement{})
+	confirmed := f.announce(t, "a1")
 	must.Eq(t, []string{"a2", "b1", "c1"}, confirmed)
 	for _, name := range []string{"a2", "b1", "b2", "c1"} {
 		must.Eq(t, 1, f.knowledge[name].announced, must.Sprintf("instance %s", name))
@@ -124,7 +137,7 @@
 func TestAnnouncePassesDeadInstances(t *testing.T) {
 	f := newFleet(t, map[string]string{"a1": "a", "b1": "b", "b2": "b"}, nil)
 	must.NoError(t, f.services["b1"].Stop(t.Context()))
-	must.Eq(t, []string{"b2"}, f.services["a1"].Announce(t.Context(), &peerpb.Announcement{}))
+	must.Eq(t, []string{"b2"}, f.announce(t, "a1"))
 }
 
 // Guards against peers outside the deployment's certificate authority.
@@ -138,9 +151,9 @@
 		"a4": trusted.issue(t, dir, "a4", "backend.example"),
 	}
 	f := newFleet(t, map[string]string{"a1": "a", "a2": "a", "a3": "a", "a4": "a"}, certs)
-	must.Eq(t, []string{"a2"}, f.services["a1"].Announce(t.Context(), &peerpb.Announcement{}))
-	must.SliceEmpty(t, f.services["a3"].Announce(t.Context(), &peerpb.Announcement{}))
-	must.SliceEmpty(t, f.services["a4"].Announce(t.Context(), &peerpb.Announcement{}))
+	must.Eq(t, []string{"a2"}, f.announce(t, "a1"))
+	must.SliceEmpty(t, f.announce(t, "a3"))
+	must.SliceEmpty(t, f.announce(t, "a4"))
 }
 
 // Guards against instances that keep an old authority after its files changed,
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,18 +18,15 @@
 // Exchange merges the caller's digest and returns the local one.
 func (s *server) Exchange(_ context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
 	s.service.knowledge.MergeRequest(in)
-	scope := ScopeRemote
-	if in.GetSender().GetZone() == s.service.zone {
-		scope = ScopeZone
-	}
-	return s.service.knowledge.Digest(scope, in.GetSender().GetName(), true), nil
+	sender := in.GetSender()
+	return s.service.knowledge.Digest(Recipient{Name: sender.GetName(), Zone: sender.GetZone(), Reply: true}), nil
 }
 
 // Announce takes an announcement and passes it on while it has hops left.
 func (s *server) Announce(ctx context.Context, in *peerpb.Announcement) (*peerpb.AnnounceReply, error) {
 	reply := &peerpb.AnnounceReply{}
-	if s.service.knowledge.Announced(ctx, in) {
-		reply.Confirmed = append(reply.Confirmed, s.service.name)
+	if confirmation := s.service.knowledge.Announced(ctx, in); confirmation != nil {
+		reply.Confirmed = append(reply.Confirmed, confirmation)
 	}
 	if in.GetHops() > 0 {
 		reply.Confirmed = append(reply.Confirmed, s.service.announceInZone(ctx, in)...)
