lookup: measure the bytes that one changed block transfers

go test ./lookup -run xxx -bench Shard -benchtime 100ms -cpu 1, JSON lists of 1/256 of the blocks, 1,000 / 30,000 / 230,000 blocks: 254 / 5,298 / 37,522 B, gzipped 140 / 1,178 / 7,325 B.

--- a/lookup/bench_test.go
+++ b/lookup/bench_test.go
@@ -1,6 +1,9 @@
 package lookup
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -216,3 +219,29 @@
 		}
 	})
 }
+
+// BenchmarkShard reports the bytes that one changed block transfers, if blocks
+// are split into 256 shards by hash and each shard is a JSON list.
+func BenchmarkShard(b *testing.B) {
+	const shards = 256
+	forSizes(b, func(b *testing.B, n int) {
+		_, blocks := benchBlocks(n)
+		var shard []config.ClientBlock
+		for _, block := range blocks {
+			if hashBlock(block.Prefix)%shards == 0 {
+				shard = append(shard, block)
+			}
+		}
+		var data []byte
+		var packed bytes.Buffer
+		for b.Loop() {
+			data, _ = json.Marshal(shard)
+			packed.Reset()
+			zip := gzip.NewWriter(&packed)
+			_, _ = zip.Write(data)
+			_ = zip.Close()
+		}
+		b.ReportMetric(float64(len(data)), "B/shard")
+		b.ReportMetric(float64(packed.Len()), "gzipped-B/shard")
+	})
+}
