caller: client with look-up, cache and failover

Cause: callers choose entry instances themselves, because there is no load balancer in front.

Change: Client looks up at the instances of the last answer and at the seeds, uses an answer until max-age after the look-up was sent, and sends requests with bounded attempts. The decision after a failed attempt is a pure function of the problem document, its ran member and whether the request is idempotent. A non-idempotent request keeps one idempotency key over its attempts. Answers are read completely before they are returned, so a cut-off answer is a failed attempt, never an answer. The transport is used without http.Client, so redirects are answers and the key goes to no other address.

Ruled out: resending a non-idempotent request after "ran: unknown" from an entry instance (its claim is taken, no instance runs it again); using an expired answer when look-ups fail (max-age bounds how long an answer steers traffic). Instances of an expired answer are still asked for look-ups, before the seeds.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,373 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/lookup"
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// fleet plays entry instances behind a RoundTripper, so that timers can run in a
+// synctest bubble. Instance n has the name "n" and the address 127.0.0.1:n.
+type fleet struct {
+	mu      sync.Mutex
+	list    []string
+	maxAge  string
+	lookups int
+	// serve answers the nth request to an instance; nil means 200.
+	serve func(instance string, nth int) (*http.Response, error)
+	seen  []*http.Request
+}
+
+var errDial = &net.OpError{Op: "dial", Net: "tcp", Err: io.ErrClosedPipe}
+
+func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.URL.Path == lookup.Path {
+		f.lookups++
+		return f.lookupAnswer()
+	}
+	f.seen = append(f.seen, r)
+	instance := r.URL.Port()
+	if f.serve == nil {
+		return respond(http.StatusOK, "text/plain", instance), nil
+	}
+	return f.serve(instance, len(f.seen))
+}
+
+func (f *fleet) lookupAnswer() (*http.Response, error) {
+	if f.list == nil {
+		return nil, errDial
+	}
+	answer := lookup.Answer{Version: "1"}
+	for _, name := range f.list {
+		answer.Instances = append(answer.Instances, lookup.Instance{Name: name, Address: "127.0.0.1:" + name, Zone: "z"})
+	}
+	body, err := json.Marshal(answer)
+	resp := respond(http.StatusOK, "application/json", string(body))
+	resp.Header.Set("Cache-Control", f.maxAge)
+	return resp, err
+}
+
+func (f *fleet) instances() []string {
+	var out []string
+	for _, r := range f.seen {
+		out = append(out, r.URL.Port())
+	}
+	return out
+}
+
+func respond(status int, media, body string) *http.Response {
+	w := httptest.NewRecorder()
+	w.Header().Set("Content-Type", media)
+	w.WriteHeader(status)
+	_, _ = w.WriteString(body)
+	return w.Result()
+}
+
+func refuse(t problem.Type, ran problem.Ran, retryAfter time.Duration) *http.Response {
+	w := httptest.NewRecorder()
+	problem.New(t, http.StatusServiceUnavailable, ran, "test").WithRetryAfter(retryAfter).Write(w)
+	return w.Result()
+}
+
+const testKey = "jr_id_secret"
+
+func newTestClient(t *testing.T, transport http.RoundTripper, seeds ...string) *Client {
+	t.Helper()
+	o := Options{Client: netip.MustParseAddr("127.0.0.1"), Key: testKey, Transport: transport, MaxAttempts: 3}
+	for _, s := range append(seeds, "127.0.0.1:9") {
+		o.Seeds = append(o.Seeds, netip.MustParseAddrPort(s))
+	}
+	client, err := New(o)
+	must.NoError(t, err)
+	return client
+}
+
+// Guards against failures that end a request although another instance could
+// answer it, against resends that another instance would refuse as well, and
+// against instances that are down or draining being tried first again.
+func TestFailover(t *testing.T) {
+	get, post := &Request{Route: "r"}, &Request{Route: "r", Method: http.MethodPost}
+	cases := []struct {
+		name    string
+		request *Request
+		first   func() (*http.Response, error)
+		want    []string // instances of the request and of one after it
+	}{
+		{"down", post, func() (*http.Response, error) { return nil, errDial }, []string{"1", "2", "2"}},
+		{"draining", get, func() (*http.Response, error) { return refuse(problem.TypeDraining, problem.RanNo, 0), nil }, []string{"1", "2", "2"}},
+		{"overloaded", post, func() (*http.Response, error) { return refuse(problem.TypeOverloaded, problem.RanNo, time.Hour), nil }, []string{"1", "2", "1"}},
+		{"lost", post, func() (*http.Response, error) { return nil, io.ErrUnexpectedEOF }, []string{"1", "2", "1"}},
+		{"failed, may have run, idempotent", get, func() (*http.Response, error) { return refuse(problem.TypeBackendFailed, problem.RanUnknown, 0), nil }, []string{"1", "2", "1"}},
+		{"failed, may have run", post, func() (*http.Response, error) { return refuse(problem.TypeBackendFailed, problem.RanUnknown, 0), nil }, []string{"1", "1"}},
+		{"outcome unknown", post, func() (*http.Response, error) {
+			return refuse(problem.TypeClaimOutcomeUnknown, problem.RanUnknown, 0), nil
+		}, []string{"1", "1"}},
+		{"key invalid", get, func() (*http.Response, error) { return refuse(problem.TypeKeyInvalid, problem.RanNo, 0), nil }, []string{"1", "1"}},
+	}
+	for _, tc := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{list: []string{"1", "2"}, maxAge: "max-age=5"}
+			f.serve = func(instance string, nth int) (*http.Response, error) {
+				if nth == 1 {
+					return tc.first()
+				}
+				return respond(http.StatusOK, "text/plain", instance), nil
+			}
+			client := newTestClient(t, f)
+			_, err := client.Do(t.Context(), tc.request)
+			must.EqOp(t, len(tc.want) == 2, err != nil, must.Sprint(tc.name))
+			_, err = client.Do(t.Context(), tc.request)
+			must.NoError(t, err)
+			must.Eq(t, tc.want, f.instances(), must.Sprint(tc.name))
+			must.EqOp(t, 1, f.lookups)
+		})
+	}
+}
+
+// Guards against traffic that an expired answer steers, when the look-up fails
+// or gives another list.
+func TestCacheEndsWithMaxAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{list: []string{"1"}, maxAge: "public, max-age=5"}
+		client := newTestClient(t, f)
+		do := func() error {
+			_, err := client.Do(t.Context(), &Request{Route: "r"})
+			return err
+		}
+		must.NoError(t, do())
+		time.Sleep(5*time.Second - time.Nanosecond)
+		f.list = []string{"2"}
+		must.NoError(t, do())
+		must.Eq(t, []string{"1", "1"}, f.instances())
+		time.Sleep(time.Nanosecond)
+		must.NoError(t, do())
+		must.Eq(t, []string{"1", "1", "2"}, f.instances())
+		time.Sleep(5 * time.Second)
+		f.list = nil
+		err := do()
+		must.True(t, errors.As(err, new(*LookupError)))
+		var failed *RequestError
+		must.True(t, errors.As(err, &failed))
+		must.EqOp(t, ReasonLookup, failed.Reason)
+		must.EqOp(t, problem.RanNo, failed.Ran)
+		must.Len(t, 3, f.seen)
+	})
+}
+
+// Guards against callers that press a refusing fleet before its Retry-After, and
+// against waits that cannot end within the deadline.
+func TestRetryAfter(t *testing.T) {
+	cases := []struct {
+		name        string
+		problem     problem.Type
+		timeout     time.Duration
+		wantElapsed time.Duration
+		wantErr     Reason
+		wantSent    int
+	}{
+		{"rate", problem.TypeRateExceeded, time.Minute, 3 * time.Second, "", 2},
+		{"in progress", problem.TypeClaimInProgress, time.Minute, 3 * time.Second, "", 2},
+		{"too long", problem.TypeRateExceeded, 2 * time.Second, 0, ReasonDeadline, 1},
+		{"all overloaded", problem.TypeOverloaded, time.Minute, 3 * time.Second, "", 3},
+	}
+	for _, tc := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{list: []string{"1", "2"}, maxAge: "max-age=60"}
+			started := time.Now()
+			f.serve = func(instance string, nth int) (*http.Response, error) {
+				if time.Since(started) < 3*time.Second {
+					return refuse(tc.problem, problem.RanNo, 3*time.Second), nil
+				}
+				return respond(http.StatusOK, "text/plain", ""), nil
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), tc.timeout)
+			defer cancel()
+			_, err := newTestClient(t, f).Do(ctx, &Request{Route: "r", Method: http.MethodPost})
+			must.EqOp(t, tc.wantSent, len(f.seen), must.Sprint(tc.name))
+			must.EqOp(t, tc.wantElapsed, time.Since(started), must.Sprint(tc.name))
+			if tc.wantErr == "" {
+				must.NoError(t, err)
+				return
+			}
+			var failed *RequestError
+			must.True(t, errors.As(err, &failed))
+			must.EqOp(t, tc.wantErr, failed.Reason)
+			must.EqOp(t, problem.RanNo, failed.Ran)
+			p, ok := Problem(err)
+			must.True(t, ok)
+			must.EqOp(t, tc.problem, p.Type)
+		})
+	}
+}
+
+// Guards against endless attempts, against an instance known to be down tried
+// before others, against "not run" after an attempt that may
+// have run, and against errors that show the key.
+func TestAttemptsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{list: []string{"1", "2"}, maxAge: "max-age=60"}
+		f.serve = func(_ string, nth int) (*http.Response, error) {
+			if nth == 2 {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return nil, errDial
+		}
+		_, err := newTestClient(t, f).Do(t.Context(), &Request{Route: "r", Method: http.MethodPost})
+		var failed *RequestError
+		must.True(t, errors.As(err, &failed))
+		must.EqOp(t, ReasonExhausted, failed.Reason)
+		must.EqOp(t, problem.RanUnknown, failed.Ran)
+		must.Eq(t, []string{"1", "2", "2"}, f.instances())
+		must.StrNotContains(t, err.Error(), testKey)
+		key := f.seen[0].Header.Get(HeaderIdempotencyKey)
+		must.NotEqOp(t, "", key)
+		for _, r := range f.seen {
+			must.EqOp(t, key, r.Header.Get(HeaderIdempotencyKey))
+			must.EqOp(t, testKey, r.Header.Get(HeaderKey))
+		}
+		must.EqOp(t, key, failed.IdempotencyKey)
+		must.EqOp(t, fmt.Sprint(DefaultTimeout.Milliseconds()), f.seen[0].Header.Get(HeaderTimeout))
+	})
+}
+
+// entryStub is an entry instance on a real socket. All stubs of a test share the
+// claims, as entry instances share the table.
+func entryStub(t *testing.T, handler http.HandlerFunc) (address string, server *httptest.Server) {
+	server = httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), server
+}
+
+func lookupHandler(addresses ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		answer := lookup.Answer{Version: "1"}
+		for _, a := range addresses {
+			answer.Instances = append(answer.Instances, lookup.Instance{Name: a, Address: a})
+		}
+		w.Header().Set("Cache-Control", "max-age=60")
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+// Guards against a non-idempotent request that runs twice because its answer was
+// lost, cut off, or because its instance went down; the second instance must see
+// the same key and body.
+func TestLostAnswerRunsOnce(t *testing.T) {
+	var mu sync.Mutex
+	runs := make(map[string]int)
+	bodies := make(map[string]bool)
+	run := func(r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		mu.Lock()
+		defer mu.Unlock()
+		key := r.Header.Get(HeaderIdempotencyKey)
+		bodies[string(body)] = true
+		if runs[key] == 0 {
+			runs[key]++
+		}
+	}
+	loses, _ := entryStub(t, func(_ http.ResponseWriter, r *http.Request) {
+		run(r)
+		panic(http.ErrAbortHandler)
+	})
+	cuts, _ := entryStub(t, func(w http.ResponseWriter, r *http.Request) {
+		run(r)
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "half")
+	})
+	answers, _ := entryStub(t, func(w http.ResponseWriter, r *http.Request) {
+		run(r)
+		_, _ = io.WriteString(w, "stored")
+	})
+	down, server := entryStub(t, func(http.ResponseWriter, *http.Request) {})
+	server.Close()
+	for _, first := range []string{loses, cuts, down} {
+		seed, _ := entryStub(t, lookupHandler(first, answers))
+		client := newTestClient(t, nil, seed)
+		defer client.Close()
+		resp, err := client.Do(t.Context(), &Request{Route: "orders", Method: http.MethodPost, Body: []byte("order")})
+		must.NoError(t, err)
+		must.EqOp(t, "stored", string(resp.Body))
+		must.EqOp(t, answers, resp.Instance)
+		must.Len(t, 1, resp.Attempts)
+		must.EqOp(t, first == down, resp.Attempts[0].Ran == problem.RanNo)
+		must.EqOp(t, 1, runs[resp.IdempotencyKey])
+	}
+	must.MapLen(t, 3, runs)
+	must.MapLen(t, 1, bodies)
+}
+
+// Guards against a redirect that sends the key to another address.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var stolen []string
+	other, _ := entryStub(t, func(_ http.ResponseWriter, r *http.Request) {
+		stolen = append(stolen, r.Header.Get(HeaderKey))
+	})
+	redirects, _ := entryStub(t, func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "http://"+other+"/", http.StatusTemporaryRedirect)
+	})
+	seed, _ := entryStub(t, lookupHandler(redirects))
+	client := newTestClient(t, nil, seed)
+	defer client.Close()
+	resp, err := client.Do(t.Context(), &Request{Route: "r"})
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusTemporaryRedirect, resp.Status)
+	must.SliceEmpty(t, stolen)
+}
+
+// Guards against look-ups that stop at the first seed that is down or answers
+// nonsense, and that carry the key.
+func TestLookupTriesAllSeeds(t *testing.T) {
+	down, server := entryStub(t, func(http.ResponseWriter, *http.Request) {})
+	server.Close()
+	empty, _ := entryStub(t, lookupHandler())
+	named, _ := entryStub(t, lookupHandler("entry.example:80"))
+	notReady, _ := entryStub(t, func(w http.ResponseWriter, _ *http.Request) {
+		problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.RanNo, "not ready").Write(w)
+	})
+	leaked := false
+	good, _ := entryStub(t, func(w http.ResponseWriter, r *http.Request) {
+		leaked = strings.Contains(fmt.Sprint(r.Header), testKey)
+		lookupHandler("127.0.0.1:1")(w, r)
+	})
+	client := newTestClient(t, nil, down, empty, named, notReady, good)
+	defer client.Close()
+	instances, err := client.Instances(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 1, instances)
+	must.False(t, leaked)
+	client = newTestClient(t, nil, down, empty, named, notReady)
+	defer client.Close()
+	_, err = client.Instances(t.Context())
+	var failed *LookupError
+	must.True(t, errors.As(err, &failed))
+	must.Len(t, 5, failed.Causes)
+}
+
+// Guards against options that would fail only at the first request.
+func TestOptionsAreChecked(t *testing.T) {
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
+	addr := netip.MustParseAddr("127.0.0.1")
+	for _, o := range []Options{{Client: addr}, {Seeds: seeds}, {Seeds: seeds, Client: addr, MaxAttempts: -1}} {
+		_, err := New(o)
+		must.True(t, errors.As(err, new(*OptionsError)))
+	}
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,197 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/lookup"
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// Headers between callers and entry instances.
+const (
+	HeaderKey            = "Jacinthrack-Key"
+	HeaderTimeout        = "Jacinthrack-Timeout"
+	HeaderRequestID      = "Jacinthrack-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// routePrefix starts the path of every routed request.
+const routePrefix = "/r/"
+
+// Request is a request to a route.
+type Request struct {
+	Method string // GET if empty
+	Route  string
+	// Path follows the route, with its query, for example "/parts/7?detail=1".
+	Path   string
+	Header http.Header
+	// Body is the whole request body. It is not changed.
+	Body []byte
+	// Open returns the body anew for each attempt, instead of Body, for bodies
+	// that are too large to hold or arrive slowly.
+	Open func() (io.ReadCloser, error)
+	// Size is the length of the body of Open, -1 if it is unknown.
+	Size int64
+	// Idempotent says that the request may run more than once. GET, HEAD and
+	// OPTIONS requests always may.
+	Idempotent bool
+	// IdempotencyKey is sent with every attempt. A non-idempotent request
+	// without one gets a random one.
+	IdempotencyKey string
+}
+
+// Response is a complete answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Instance is the entry instance that answered.
+	Instance  string
+	RequestID string
+	// IdempotencyKey is the key that was sent, if there was one.
+	IdempotencyKey string
+	// Attempts holds the failed attempts before this answer.
+	Attempts []Attempt
+}
+
+func (r *Request) idempotent() bool {
+	switch r.Method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	default:
+		return r.Idempotent
+	}
+}
+
+// idempotencyKey returns the key of all attempts of the request.
+func (r *Request) idempotencyKey() string {
+	if key := r.IdempotencyKey; key != "" {
+		return key
+	}
+	if key := r.Header.Get(HeaderIdempotencyKey); key != "" {
+		return key
+	}
+	if r.idempotent() {
+		return ""
+	}
+	return rand.Text()
+}
+
+// BodyError reports a request body that could not be opened.
+type BodyError struct{ Err error }
+
+func (e *BodyError) Error() string { return fmt.Sprintf("open the request body: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *BodyError) Unwrap() error { return e.Err }
+
+// build returns the HTTP request of one attempt.
+func (c *Client) build(ctx context.Context, r *Request, key string, to lookup.Instance) (*http.Request, error) {
+	body, size, err := r.open()
+	if err != nil {
+		return nil, &BodyError{Err: err}
+	}
+	target := "http://" + to.Address + routePrefix + r.Route + r.Path
+	out, err := http.NewRequestWithContext(ctx, r.Method, target, body)
+	if err != nil {
+		return nil, &BodyError{Err: err}
+	}
+	out.ContentLength = size
+	if r.Header != nil {
+		out.Header = r.Header.Clone()
+	}
+	if c.options.Key != "" {
+		out.Header.Set(HeaderKey, c.options.Key)
+	}
+	if key != "" {
+		out.Header.Set(HeaderIdempotencyKey, key)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	}
+	return out, nil
+}
+
+func (r *Request) open() (io.ReadCloser, int64, error) {
+	if r.Open != nil {
+		body, err := r.Open()
+		return body, r.Size, err
+	}
+	if len(r.Body) == 0 {
+		return http.NoBody, 0, nil
+	}
+	return io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body)), nil
+}
+
+// attempt sends the request to one instance. It returns a complete answer or an
+// outcome. The transport is used directly, so redirects are answers like others
+// and the key goes to no other address.
+func (c *Client) attempt(ctx context.Context, r *http.Request, to lookup.Instance) (*Response, *outcome) {
+	resp, err := c.options.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, transportOutcome(to.Name, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, &outcome{ran: problem.RanUnknown, err: &TransportError{Instance: to.Name, Sent: true, Err: err}}
+	}
+	if p, ok := parseProblem(resp, body); ok {
+		return nil, &outcome{err: p, ran: p.Ran, problem: p}
+	}
+	if int64(len(body)) > c.options.MaxAnswerBytes {
+		return nil, &outcome{ran: problem.RanUnknown, err: &AnswerTooLargeError{Instance: to.Name, Max: c.options.MaxAnswerBytes}}
+	}
+	return &Response{
+		Status:    resp.StatusCode,
+		Header:    resp.Header,
+		Body:      body,
+		Instance:  to.Name,
+		RequestID: resp.Header.Get(HeaderRequestID),
+	}, nil
+}
+
+func transportOutcome(instance string, err error) *outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &outcome{ran: problem.RanNo, err: &TransportError{Instance: instance, Err: err}}
+	}
+	return &outcome{ran: problem.RanUnknown, err: &TransportError{Instance: instance, Sent: true, Err: err}}
+}
+
+// parseProblem returns the problem document of an answer. The type prefix tells
+// ours from one that a backend server sent.
+func parseProblem(resp *http.Response, body []byte) (*problem.Document, bool) {
+	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if err != nil || media != problem.ContentType {
+		return nil, false
+	}
+	var p problem.Document
+	if json.Unmarshal(body, &p) != nil || !strings.HasPrefix(string(p.Type), typePrefix) {
+		return nil, false
+	}
+	if p.Ran != problem.RanNo {
+		p.Ran = problem.RanUnknown
+	}
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err == nil && seconds > 0 {
+		p.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return &p, true
+}
+
+// typePrefix starts every problem type of an entry instance.
+const typePrefix = "urn:jacinthrack:problem:"
