caller: bound the wait before another attempt

Cause: a load generator must see a refusal at once, and an interactive caller may prefer it to a long wait.

Change: Options.MaxWait bounds the wait before another attempt.

Broken on purpose, seen to fail and restored: MaxWait ignored, TestRetryAfter "longer than allowed".

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -44,6 +44,10 @@
 	// Timeout bounds a request whose context has no deadline. Zero means
 	// DefaultTimeout.
 	Timeout time.Duration
+	// MaxWait bounds the wait before another attempt, also one that an entry
+	// instance asked for. A longer wait ends the request. Zero means that only
+	// the deadline bounds it.
+	MaxWait time.Duration
 	// LookupTimeout bounds the look-up at one instance. Zero means
 	// DefaultLookupTimeout.
 	LookupTimeout time.Duration
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -179,14 +179,16 @@
 		name        string
 		problem     problem.Type
 		timeout     time.Duration
+		maxWait     time.Duration
 		wantElapsed time.Duration
 		wantErr     Reason
 		wantSent    int
 	}{
-		{"rate", problem.TypeRateExceeded, time.Minute, 3 * time.Second, "", 2},
-		{"in progress", problem.TypeClaimInProgress, time.Minute, 3 * time.Second, "", 2},
-		{"too long", problem.TypeRateExceeded, 2 * time.Second, 0, ReasonDeadline, 1},
-		{"all overloaded", problem.TypeOverloaded, time.Minute, 3 * time.Second, "", 3},
+		{"rate", problem.TypeRateExceeded, time.Minute, 0, 3 * time.Second, "", 2},
+		{"in progress", problem.TypeClaimInProgress, time.Minute, 0, 3 * time.Second, "", 2},
+		{"too long", problem.TypeRateExceeded, 2 * time.Second, 0, 0, ReasonDeadline, 1},
+		{"longer than allowed", problem.TypeRateExceeded, time.Minute, time.Second, 0, ReasonDeadline, 1},
+		{"all overloaded", problem.TypeOverloaded, time.Minute, 0, 3 * time.Second, "", 3},
 	}
 	for _, tc := range cases {
 		synctest.Test(t, func(t *testing.T) {
@@ -200,7 +202,9 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), tc.timeout)
 			defer cancel()
-			_, err := newTestClient(t, f).Do(ctx, &Request{Route: "r", Method: http.MethodPost})
+			client := newTestClient(t, f)
+			client.options.MaxWait = tc.maxWait
+			_, err := client.Do(ctx, &Request{Route: "r", Method: http.MethodPost})
 			must.EqOp(t, tc.wantSent, len(f.seen), must.Sprint(tc.name))
 			must.EqOp(t, tc.wantElapsed, time.Since(started), must.Sprint(tc.name))
 			if tc.wantErr == "" {
--- a/caller/do.go
+++ b/caller/do.go
@@ -56,8 +56,8 @@
 	if err != nil || wait == 0 {
 		return instance, err
 	}
-	if left := timeLeft(ctx); wait >= left {
-		return instance, e.fail(ReasonDeadline, &WaitTooLongError{Wait: wait, Left: left, Err: e.last()})
+	if allowed := e.client.maxWait(ctx); wait >= allowed {
+		return instance, e.fail(ReasonDeadline, &WaitTooLongError{Wait: wait, Allowed: allowed, Err: e.last()})
 	}
 	if err := sleep(ctx, wait); err != nil {
 		return instance, e.fail(ReasonDeadline, err)
@@ -128,12 +128,15 @@
 	return &RequestError{Reason: reason, Ran: ran, IdempotencyKey: e.key, Attempts: e.attempts, Err: err}
 }
 
-func timeLeft(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return 0
+// maxWait returns the longest wait that leaves time for another attempt. ctx has a
+// deadline.
+func (c *Client) maxWait(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	if c.options.MaxWait > 0 {
+		return min(left, c.options.MaxWait)
 	}
-	return time.Until(deadline)
+	return left
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -26,8 +26,8 @@
 	ReasonRefused Reason = "refused"
 	// ReasonExhausted: all attempts failed.
 	ReasonExhausted Reason = "attempts exhausted"
-	// ReasonDeadline: the time of the request ended or is too short to wait
-	// for another attempt.
+	// ReasonDeadline: the time of the request ended, or another attempt would
+	// need a longer wait than is allowed, see *WaitTooLongError.
 	ReasonDeadline Reason = "deadline"
 	// ReasonLookup: no entry instance is known, see *LookupError.
 	ReasonLookup Reason = "look-up failed"
@@ -114,15 +114,15 @@
 }
 
 // WaitTooLongError reports that an entry instance asked to wait for longer than
-// the request has time.
+// the deadline or Options.MaxWait allows.
 type WaitTooLongError struct {
-	Wait time.Duration
-	Left time.Duration
-	Err  error // cause of the wait
+	Wait    time.Duration
+	Allowed time.Duration
+	Err     error // cause of the wait
 }
 
 func (e *WaitTooLongError) Error() string {
-	return fmt.Sprintf("waiting for %v exceeds the %v left: %v", e.Wait, e.Left, e.Err)
+	return fmt.Sprintf("waiting for %v exceeds the %v allowed: %v", e.Wait, e.Allowed, e.Err)
 }
 
 // Unwrap returns the cause of the wait.
