--- a/limits/invariant_test.go
+++ b/limits/invariant_test.go
@@ -24,25 +24,53 @@
 		"long pause": func(t *rapid.T) {
 			w.advance(time.Duration(rapid.IntRange(4, 40).Draw(t, "s")) * time.Second)
 		},
-		"drain":         func(t *rapid.T) { w.drain(w.pick()) },
-		"drain all":     func(*rapid.T) { w.drainAll() },
-		"read":          func(t *rapid.T) { w.read(w.pick()) },
-		"propose":       func(t *rapid.T) { w.propose(w.pick()) },
-		"exchange":      func(t *rapid.T) { w.exchange(w.pick()) },
-		"exchange more": func(t *rapid.T) { w.exchange(w.pick()) },
+		"drain":     func(t *rapid.T) { w.drain(w.pick()) },
+		"drain all": func(*rapid.T) { w.drainAll() },
+		"read":      func(t *rapid.T) { w.read(w.pick()) },
+		"propose":   func(t *rapid.T) { w.propose(w.pick()) },
+		"exchange":  func(t *rapid.T) { w.exchange(w.pick()) },
+		"rounds": func(t *rapid.T) {
+			w.hot = w.pick()
+			w.rounds(t, w.pick())
+		},
+		"send": func(t *rapid.T) { w.send(w.pick()) },
+		"slow reply": func(t *rapid.T) {
+			p := w.pick()
+			if f := w.send(p); f != nil {
+				w.decide(f)
+				w.rounds(t, p)
+				w.land(f, true)
+			}
+		},
+		"slow read": func(t *rapid.T) {
+			p := w.pick()
+			row, version := w.table.clone(), w.version
+			w.rounds(t, w.pick())
+			p.holder.Observe(row, version, w.clock(p))
+		},
+		"second write refused while the first is open": func(t *rapid.T) {
+			p := w.pick()
+			first, second := w.send(p), w.send(p)
+			if first != nil && second != nil {
+				w.remove(second)
+				p.holder.Failed(second.proposal, w.clock(p))
+				w.read(p)
+				w.decide(first)
+			}
+		},
 		"write decided": func(t *rapid.T) { w.land(flying(t), true) },
+		"reply delayed": func(t *rapid.T) { w.decide(flying(t)) },
 		"reply lost":    func(t *rapid.T) { w.land(flying(t), false) },
 		"write lost":    func(t *rapid.T) { w.remove(flying(t)) },
 		"write refused": func(t *rapid.T) {
 			f := flying(t)
+			if f.applied > 0 {
+				t.Skip("already applied")
+			}
 			w.remove(f)
 			f.from.holder.Failed(f.proposal, w.clock(f.from))
 		},
-		"offer": func(t *rapid.T) {
-			// Demand without admission moves leases between holders.
-			w.pick().holder.demand.add(float64(rapid.IntRange(1, 500).Draw(t, "offered")))
-		},
-		"": func(*rapid.T) {},
+		"": func(*rapid.T) { w.checkUse() },
 	}
 }
 
@@ -77,7 +105,7 @@
 		actions["restart"] = func(t *rapid.T) { w.restart(t, false) }
 		actions["change the limit"] = func(t *rapid.T) {
 			w.gen++
-			w.limit = ShareOf(rapid.Float64Range(0, 50).Draw(t, "rate"), rapid.Float64Range(0, 60).Draw(t, "burst"))
+			w.limit = drawLimit(t)
 			w.pick().holder.SetLimit(w.limit, w.gen)
 		}
 		actions["leave"] = func(t *rapid.T) {
--- a/limits/world_test.go
+++ b/limits/world_test.go
@@ -20,6 +20,7 @@
 	nextID  int
 
 	procs   []*proc
+	hot     *proc // where callers go
 	flights []*flight
 	exact   Bucket
 }
@@ -35,23 +36,32 @@
 type flight struct {
 	from     *proc
 	proposal Proposal
+	applied  int64 // version, once applied
 }
 
 func (w *world) clock(p *proc) time.Time { return w.now.Add(p.offset) }
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: time.Unix(1_000_000, 0), policy: DefaultPolicy()}
-	w.policy.FloorTerm = time.Minute // short, so that floors are reclaimed in a run
+	w.policy.FloorTerm = 15 * time.Second // short, so that floors are reclaimed in a run
+	w.policy.FloorMargin = 3 * time.Second
 	w.policy.FloorFraction = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "floor fraction")
-	w.limit = ShareOf(rapid.Float64Range(0.5, 50).Draw(t, "rate"), rapid.Float64Range(1, 60).Draw(t, "burst"))
+	w.limit = drawLimit(t)
 	w.gen = 1
 	w.exact = NewBucket(Share{}, false, w.now)
 	for i := range rapid.IntRange(2, 4).Draw(t, "processes") {
 		w.procs = append(w.procs, w.boot(fmt.Sprintf("entry-%d", i)))
 	}
+	w.hot = w.procs[0]
 	return w
 }
 
+func drawLimit(t *rapid.T) Share {
+	return ShareOf(
+		rapid.SampledFrom([]float64{0, 0.5, 5, 20, 50}).Draw(t, "rate"),
+		rapid.SampledFrom([]float64{0, 1, 3, 10, 40}).Draw(t, "burst"))
+}
+
 func (w *world) boot(instance string) *proc {
 	w.nextID++
 	p := &proc{instance: instance, offset: time.Duration(w.nextID) * time.Hour}
@@ -74,6 +84,18 @@
 	}
 }
 
+// checkUse requires that the shares in use together stay within what the exact
+// bucket may have. No part of a limit then has two users at one time.
+func (w *world) checkUse() {
+	var sum Share
+	for _, p := range w.procs {
+		sum = sum.Plus(p.holder.Using(w.clock(p)))
+	}
+	if !sum.Within(w.exact.Share()) {
+		w.t.Fatalf("shares in use sum to %+v, the bound is %+v", sum, w.exact.Share())
+	}
+}
+
 func (w *world) read(p *proc) { p.holder.Observe(w.table.clone(), w.version, w.clock(p)) }
 
 func (w *world) propose(p *proc) {
@@ -85,19 +107,24 @@
 // land decides a flight: applied or in conflict, with or without its reply.
 func (w *world) land(f *flight, reply bool) {
 	w.remove(f)
-	applied := f.proposal.IfVersion == w.version
-	if applied {
-		w.apply(f.proposal.Ledger.clone())
-	}
+	w.decide(f)
 	switch {
 	case !reply:
-	case applied:
-		f.from.holder.Written(f.proposal, w.version, w.clock(f.from))
+	case f.applied > 0:
+		f.from.holder.Written(f.proposal, f.applied, w.clock(f.from))
 	default:
 		f.from.holder.Failed(f.proposal, w.clock(f.from))
 	}
 }
 
+// decide applies a flight if its condition holds. Its reply stays under way.
+func (w *world) decide(f *flight) {
+	if f.applied == 0 && f.proposal.IfVersion == w.version {
+		w.apply(f.proposal.Ledger.clone())
+		f.applied = w.version
+	}
+}
+
 func (w *world) remove(f *flight) {
 	for i := range w.flights {
 		if w.flights[i] == f {
@@ -136,6 +163,38 @@
 	}
 }
 
+// send reads and proposes. It returns nil when no write is due.
+func (w *world) send(p *proc) *flight {
+	w.advance(time.Second)
+	w.read(p)
+	before := len(w.flights)
+	w.propose(p)
+	if len(w.flights) == before {
+		return nil
+	}
+	return w.flights[before]
+}
+
+func (w *world) rounds(t *rapid.T, cutOff *proc) {
+	for range rapid.IntRange(1, 14).Draw(t, "rounds") {
+		w.round(cutOff)
+	}
+}
+
+// round lets each process but one exchange, with all demand at the hot process.
+// The one left out is cut off.
+func (w *world) round(cutOff *proc) {
+	for _, p := range w.procs {
+		w.advance(1200 * time.Millisecond / time.Duration(len(w.procs)))
+		if p == w.hot {
+			p.holder.demand.add(1000)
+		}
+		if p != cutOff {
+			w.exchange(p)
+		}
+	}
+}
+
 func (w *world) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 }
