--- a/claims/settle.go
+++ b/claims/settle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 )
 
@@ -90,7 +89,7 @@
 		if err == nil {
 			return
 		}
-		delay := retryDelay(n, rand.Float64())
+		delay := retryDelay(n, s.config.Jitter())
 		if permanent(err) || time.Now().Add(delay).After(giveUp) || !s.sleep(delay) {
 			s.config.Logger.Error("claim row not updated", "row", c.key, "attempts", n+1, "error", err)
 			return
--- a/claims/store.go
+++ b/claims/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	// Liveness says what is known about the claimant of a row. Nil means that
 	// nothing is known.
 	Liveness func(Claimant) Liveness
+	// Jitter returns a random number in [0, 1) for retry delays. Nil takes the
+	// global random source.
+	Jitter func() float64
 	// Logger receives claims that are given up. Nil discards them.
 	Logger *slog.Logger
 }
@@ -39,6 +43,9 @@
 	if c.Liveness == nil {
 		c.Liveness = func(Claimant) Liveness { return LivenessUnknown }
 	}
+	if c.Jitter == nil {
+		c.Jitter = rand.Float64
+	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
