--- a/headroom/holder.go
+++ b/headroom/holder.go
@@ -1,6 +1,7 @@
 package headroom
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -30,6 +31,14 @@
 	mu     sync.Mutex
 	grants map[areaKey]map[string]grant // by publisher
 	inUse  map[areaKey]int
+	misses map[string]*missCount // by service
+}
+
+// missCount adds up the time that missed requests would have run, for the current
+// and the previous second.
+type missCount struct {
+	start             time.Time
+	current, previous time.Duration
 }
 
 // NewHolder returns a holder without grants that admits within the link budgets.
@@ -38,6 +47,7 @@
 		links:  links,
 		grants: make(map[areaKey]map[string]grant),
 		inUse:  make(map[areaKey]int),
+		misses: make(map[string]*missCount),
 	}
 }
 
@@ -123,6 +133,46 @@
 	return sum
 }
 
+// Miss counts a request that found no server anywhere, and the time that it would
+// have run. The adapter calls it once per request, and not for requests that room
+// reserved for other regions would have taken: if those asked for room elsewhere,
+// reservations would cause more reservations.
+func (h *Holder) Miss(service string, runs time.Duration, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.missed(service, now).current += runs
+}
+
+// Wanted returns what the digest asks of the other regions, in requests in progress:
+// those that run there, and the mean number of those that missed.
+func (h *Holder) Wanted(service string, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sum := 0
+	for key, n := range h.inUse {
+		if key.service == service {
+			sum += n
+		}
+	}
+	m := h.missed(service, now)
+	return sum + int(math.Round(max(m.previous, m.current).Seconds()))
+}
+
+func (h *Holder) missed(service string, now time.Time) *missCount {
+	m := h.misses[service]
+	if m == nil {
+		m = &missCount{start: now}
+		h.misses[service] = m
+	}
+	age := now.Sub(m.start)
+	if age >= 2*time.Second {
+		*m = missCount{start: now}
+	} else if age >= time.Second {
+		*m = missCount{start: now, previous: m.current}
+	}
+	return m
+}
+
 func (h *Holder) check(s Spill, now time.Time) error {
 	key := areaKey{s.Region, s.Service}
 	allowed := 0
--- a/headroom/publisher.go
+++ b/headroom/publisher.go
@@ -1,8 +1,11 @@
 package headroom
 
 import (
+	"math"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Life of a grant.
@@ -17,9 +20,15 @@
 	grantMargin = time.Second
 )
 
-// spareShare is the part of the unused capacity that is granted. The rest is for
-// local growth while grants are out.
-const spareShare = 0.75
+// The part of the unused capacity that is granted. The rest is for local growth while
+// grants are out.
+const (
+	// idleShare, rounded down, is granted when no instance asks for any. Each grant
+	// keeps room free that local requests may need more.
+	idleShare = 0.25
+	// wantedShare, rounded up, is granted to instances that ask.
+	wantedShare = 0.5
+)
 
 type grantKey struct{ service, instance string }
 
@@ -28,59 +37,97 @@
 	at       time.Time
 }
 
-// Publisher grants the spare capacity that one entry instance knows of in its
-// region. All methods are safe for concurrent use.
+// Publisher grants the spare capacity that one entry instance has in its region.
+// All methods are safe for concurrent use.
 type Publisher struct {
-	region string
+	name   string
 	mu     sync.Mutex
 	grants map[grantKey][]grant // unexpired, oldest first
+	wants  map[grantKey]grant
 }
 
-// NewPublisher returns a publisher of the region without grants.
-func NewPublisher(region string) *Publisher {
-	return &Publisher{region: region, grants: make(map[grantKey][]grant)}
-}
-
-// Capacity is what the publishing instance may use of a service in its region:
-// the sum of its limits at the servers that get work, and its own requests in
-// progress, both in requests.
-type Capacity struct {
-	Limit int
-	InUse int
+// NewPublisher returns the publisher of the entry instance name.
+func NewPublisher(name string) *Publisher {
+	return &Publisher{
+		name:   name,
+		grants: make(map[grantKey][]grant),
+		wants:  make(map[grantKey]grant),
+	}
 }
 
-func (c Capacity) spare() int {
-	return int(float64(max(0, c.Limit-c.InUse)) * spareShare)
+// Want stores the requests in progress that an instance outside the region would
+// like to have, from its digest.
+func (p *Publisher) Want(service, instance string, requests int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wants[grantKey{service, instance}] = grant{requests: requests, at: now}
 }
 
-// Grant returns the number of requests in progress that the outside instance may
-// have, to be sent in its next digest. It replaces the instance's previous grant.
-// outsiders is the number of entry instances outside the region. The fair share
-// rotates with index, the instance's position among the outsiders, so that spare
-// capacity below the number of outsiders is not lost.
-func (p *Publisher) Grant(service, instance string, index, outsiders int, c Capacity, now time.Time) int {
+// Grant returns the number of requests in progress that the outside instance to may
+// have, to be sent in its next digest. outsiders are the entry instances outside the
+// region, spare is the room of the publishing instance's own share of the service,
+// in requests.
+func (p *Publisher) Grant(service, to string, outsiders []string, spare int, now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := grantKey{service, instance}
-	spare := c.spare()
+	key := grantKey{service, to}
+	spare = max(0, spare)
 	others := p.out(service, now) - p.live(key, now)
-	requests := max(0, min(fairShare(spare, index, outsiders, now), spare-others))
+	requests := max(0, min(p.divide(service, outsiders, spare, now)[to], spare-others))
 	p.grants[key] = append(p.grants[key], grant{requests: requests, at: now})
 	return requests
 }
 
-// fairShare divides spare requests among n instances. The instances that get one
-// more than the others change with time.
-func fairShare(spare, index, n int, now time.Time) int {
-	if n <= 0 {
-		return 0
+// divide gives the granted part of the spare capacity to the outsiders one by one: to
+// those that want some until they have it, or to all if none does. Spare capacity is
+// often below the number of outsiders; which of them come first differs by publisher
+// and service, so that each gets some. The order does not change with time: a grant
+// that moves is lost to both instances until the old one has expired.
+func (p *Publisher) divide(service string, outsiders []string, spare int, now time.Time) map[string]int {
+	wants := make(map[string]int)
+	for _, name := range outsiders {
+		if w := p.wanted(service, name, now); w > 0 {
+			wants[name] = w
+		}
+	}
+	if len(wants) > 0 {
+		part := int(math.Ceil(float64(spare) * wantedShare))
+		return p.deal(service, outsiders, part, func(name string, has int) bool { return has < wants[name] })
 	}
-	turn := int(now.Unix()/int64(GrantLife/time.Second)) + index
-	share := spare / n
-	if turn%n < spare%n {
-		share++
+	part := int(float64(spare) * idleShare)
+	return p.deal(service, outsiders, part, func(string, int) bool { return true })
+}
+
+// deal gives out requests one by one to the outsiders that take another one.
+func (p *Publisher) deal(service string, outsiders []string, requests int, takes func(name string, has int) bool) map[string]int {
+	out := make(map[string]int, len(outsiders))
+	n := len(outsiders)
+	if n == 0 {
+		return out
+	}
+	first := int(xxhash.Sum64String(p.name+"/"+service) % uint64(n))
+	for given := -1; given != 0; {
+		given = 0
+		for i := range n {
+			name := outsiders[(first+i)%n]
+			if requests > 0 && takes(name, out[name]) {
+				out[name]++
+				requests--
+				given++
+			}
+		}
+	}
+	return out
+}
+
+func (p *Publisher) wanted(service, instance string, now time.Time) int {
+	key := grantKey{service, instance}
+	w := p.wants[key]
+	if now.Sub(w.at) >= GrantLife {
+		delete(p.wants, key)
+		return 0
 	}
-	return share
+	return w.requests
 }
 
 // Granted returns the sum of the grants for a service that can still be in use.
@@ -90,16 +137,6 @@
 	return p.out(service, now)
 }
 
-// AdmitLocal admits a request of the publishing instance itself. It returns a
-// *RefusedError when local work and grants fill the capacity.
-func (p *Publisher) AdmitLocal(service string, c Capacity, now time.Time) error {
-	granted := p.Granted(service, now)
-	if c.InUse+granted < c.Limit {
-		return nil
-	}
-	return &RefusedError{Cause: CauseLocal, Region: p.region, Service: service, InUse: c.InUse + granted, Allowed: c.Limit}
-}
-
 func (p *Publisher) out(service string, now time.Time) int {
 	sum := 0
 	for key := range p.grants {
--- a/headroom/refusal.go
+++ b/headroom/refusal.go
@@ -28,13 +28,11 @@
 	CauseLink
 	// CauseNoLink: there is no link between the regions.
 	CauseNoLink
-	// CauseLocal: local work and grants fill the region's capacity.
-	CauseLocal
 )
 
 var causeNames = [...]string{
 	"none", "no reservation", "reservation expired", "reservation in use",
-	"link budget used", "no link", "capacity in use or granted",
+	"link budget used", "no link",
 }
 
 // String returns the name used in logs.
@@ -50,8 +48,7 @@
 	Cause   Cause
 	Region  string // region of the servers
 	Service string
-	// InUse and Allowed count requests in progress, for CauseUsed, CauseExpired
-	// and CauseLocal.
+	// InUse and Allowed count requests in progress, for CauseUsed and CauseExpired.
 	InUse   int
 	Allowed int
 	// RetryAfter is the time after which a retry can help, zero when unknown.
--- a/placement/book.go
+++ b/placement/book.go
@@ -27,9 +27,10 @@
 
 // Inputs are the other observations of a placement.
 type Inputs struct {
-	States States
-	Spill  map[string]error // see View
-	Policy config.Policy
+	States   States
+	Spill    map[string]error // see View
+	Reserved int              // see View
+	Policy   config.Policy
 }
 
 // Book holds one instance's counts and the reports of others. All methods are safe
@@ -181,34 +182,58 @@
 }
 
 // Loads returns this instance's use of all servers, sorted by name. Servers without
-// use are included: zero is a measurement.
-func (b *Book) Loads() []Load {
+// use are included: zero is a measurement. reserved returns the requests that the
+// instance has granted to other regions for a service; they count as use, so that
+// no other instance of the region takes that room.
+func (b *Book) Loads(reserved func(service string) int, p config.Policy) []Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make([]Load, 0, len(b.servers))
-	for name, e := range b.servers {
-		out = append(out, Load{Server: name, InUse: e.inUse})
+	for service, entries := range b.services {
+		left := reserved(service)
+		for _, e := range entries {
+			part := 0
+			if e.region == b.self.Region {
+				part = min(left, max(0, e.share(b.self.Name, p)-e.inUse))
+			}
+			left -= part
+			out = append(out, Load{Server: e.Name, InUse: e.inUse + part})
+		}
 	}
 	slices.SortFunc(out, func(x, y Load) int { return cmp.Compare(x.Server, y.Server) })
 	return out
 }
 
-// Capacity returns the part of a service's limits in the instance's own region that
-// this instance may use, and its requests in progress there. It is what headroom
-// needs. Servers that get no work do not count.
-func (b *Book) Capacity(service string, in Inputs, now time.Time) (limit, inUse int) {
+// Spare returns the number of requests for which the instance's own share of a
+// service's servers in its region has room, for headroom.Publisher. Room that
+// another instance uses beyond its share is divided among those below theirs.
+func (b *Book) Spare(service string, in Inputs, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	spare := 0.0
+	var c Candidate
 	for _, e := range b.services[service] {
 		if e.region != b.self.Region {
 			continue
 		}
-		inUse += e.inUse
-		if weight, _ := in.States.Eligible(e.Name, now); weight > 0 {
-			limit += e.share(b.self.Name, in.Policy)
-		}
+		e.describe(&c, b.self.Name, in, now)
+		spare += spareAt(&c, e.share(b.self.Name, in.Policy), in.Policy)
+	}
+	return int(spare + rounding)
+}
+
+func spareAt(c *Candidate, share int, p config.Policy) float64 {
+	own := float64(max(0, share-c.InUse))
+	expected, _, _ := othersUse(c, TierRegion)
+	left := float64(Limit(c.Slots, p)-c.InUse) - expected
+	if own <= 0 || left <= 0 {
+		return 0
+	}
+	unused := own
+	for _, u := range c.Others {
+		unused += max(0, float64(u.Share)-u.expected())
 	}
-	return limit, inUse
+	return c.Weight * min(own, left*own/unused)
 }
 
 func (b *Book) view(service string, in Inputs, now time.Time) View {
@@ -225,6 +250,7 @@
 		Region:     b.self.Region,
 		Candidates: b.scratch,
 		Spill:      in.Spill,
+		Reserved:   in.Reserved,
 		Policy:     in.Policy,
 	}
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -10,6 +10,15 @@
 	"github.com/jacinthrack/jacinthrack/selector"
 )
 
+const (
+	// freshEnough is the freshness of reports that are one half-life old.
+	freshEnough = 0.5
+	// halfSlot rounds the expected load to whole slots while reports are fresh.
+	// Rounding up would leave a slot of each server unused as soon as reports are
+	// not brand-new; servers have only 3 to 6.
+	halfSlot = 0.5
+)
+
 // rounding absorbs the floating point error of sums of aged reports.
 const rounding = 1e-9
 
@@ -32,6 +41,7 @@
 	index  int
 	weight float64 // sampling weight
 	fill   float64 // load with this request, as a share of the limit
+	free   int     // requests for which there is room, with this one
 	static bool
 }
 
@@ -54,6 +64,7 @@
 		verdicts[i].Why = RejectedFarther
 		byTier[tier] = append(byTier[tier], o)
 	}
+	holdBack(&byTier, verdicts, v.Reserved)
 	for tier, options := range byTier {
 		if len(options) > 0 {
 			return pick(Tier(tier), options, v, verdicts, rng)
@@ -62,6 +73,29 @@
 	return Decision{Rejected: verdicts}
 }
 
+// holdBack removes the options of the own region when their room is granted to
+// other regions.
+func holdBack(byTier *[tiers][]option, verdicts []Rejection, reserved int) {
+	if reserved <= 0 {
+		return
+	}
+	free := 0
+	for _, tier := range []Tier{TierZone, TierRegion} {
+		for _, o := range byTier[tier] {
+			free += o.free
+		}
+	}
+	if free > reserved {
+		return
+	}
+	for _, tier := range []Tier{TierZone, TierRegion} {
+		for _, o := range byTier[tier] {
+			verdicts[o.index].Why = RejectedReserved
+		}
+		byTier[tier] = nil
+	}
+}
+
 func tierOf(c *Candidate, v View) Tier {
 	switch {
 	case c.Zone == v.Zone:
@@ -102,20 +136,29 @@
 	limit := float64(Limit(c.Slots, p))
 	others, known, stalest := othersUse(c, tier)
 	load := float64(c.InUse) + others + 1
-	static := stalest < 0.5
+	static := stalest < freshEnough
+	allowed := limit + rounding
+	if !static {
+		allowed += halfSlot
+	}
 	switch {
 	case float64(c.InUse)+known+1 > limit+rounding:
 		return option{}, RejectedSlots
-	case load > limit+rounding && static:
+	case load > allowed && static:
 		return option{}, RejectedStaticShare
-	case load > limit+rounding:
+	case load > allowed:
 		return option{}, RejectedSlots
 	case float64(c.InUse)+1 > math.Max(1, math.Ceil(limit*c.Weight)):
 		return option{}, RejectedSlowStart
 	case c.Idle == 0 && c.Open >= connectionLimit(c):
 		return option{}, RejectedConnections
 	}
-	return option{weight: c.Weight * limit, fill: load / (limit * c.Weight), static: static}, 0
+	return option{
+		weight: c.Weight * limit,
+		fill:   load / (limit * c.Weight),
+		free:   int(allowed - load + 1),
+		static: static,
+	}, 0
 }
 
 // othersUse returns the expected use by other instances, the part of it that was
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -86,8 +86,11 @@
 	Candidates []Candidate
 	// Spill holds the answer of headroom for each other region: nil when a request
 	// may be sent there. A region without entry gets none.
-	Spill  map[string]error
-	Policy config.Policy
+	Spill map[string]error
+	// Reserved is the number of requests that this instance has granted to other
+	// regions for the service. That much room stays free in the own region.
+	Reserved int
+	Policy   config.Policy
 }
 
 // Tier is the distance of a server.
@@ -141,6 +144,8 @@
 	RejectedConnections
 	// RejectedSpill: headroom refused the region.
 	RejectedSpill
+	// RejectedReserved: the room left in the region is granted to other regions.
+	RejectedReserved
 	// RejectedFarther: a nearer tier has room.
 	RejectedFarther
 	// RejectedNotSampled: not one of the two random ones.
@@ -160,6 +165,7 @@
 	RejectedSlowStart:   "slow start share in use",
 	RejectedConnections: "connections in use",
 	RejectedSpill:       "region has no headroom",
+	RejectedReserved:    "room is reserved for other regions",
 	RejectedFarther:     "nearer server has room",
 	RejectedNotSampled:  "not sampled",
 	RejectedMoreLoaded:  "more loaded of two",
@@ -218,7 +224,9 @@
 	Service string
 	// Overloaded is set when a server would have taken the request with more room.
 	Overloaded bool
-	Rejected   []Rejection
+	// HeldBack is set when room was left but is reserved for other regions.
+	HeldBack bool
+	Rejected []Rejection
 }
 
 func (e *NoServerError) Error() string {
@@ -241,6 +249,9 @@
 		switch r.Why {
 		case RejectedSlots, RejectedStaticShare, RejectedSlowStart, RejectedConnections, RejectedSpill:
 			e.Overloaded = true
+		case RejectedReserved:
+			e.Overloaded = true
+			e.HeldBack = true
 		}
 	}
 	return e
--- a/serverstate/event.go
+++ b/serverstate/event.go
@@ -21,13 +21,16 @@
 	KindProbe
 	// KindLoadReport is a figure of the server's load endpoint.
 	KindLoadReport
+	// KindPeer is the state that another entry instance reports from its own
+	// evidence, see Tracker.Report.
+	KindPeer
 	// KindPlatform is what the platform's list says.
 	KindPlatform
 )
 
 var kindNames = [...]string{
 	"none", "success", "reset", "refused connection", "shed response",
-	"server error", "probe", "load report", "platform list",
+	"server error", "probe", "load report", "report of another entry instance", "platform list",
 }
 
 // String returns the name used in logs.
@@ -64,6 +67,8 @@
 	// Utilization is the reported share of the server's capacity in use, for
 	// KindLoadReport.
 	Utilization float64
+	// Peer is the reported state, for KindPeer.
+	Peer State
 	// Listing applies to KindPlatform.
 	Listing Listing
 }
--- a/serverstate/evidence.go
+++ b/serverstate/evidence.go
@@ -21,6 +21,8 @@
 		s.load = e.Utilization
 		s.loadAt = e.At
 		return nil
+	case KindPeer:
+		return s.onPeer(e)
 	case KindPlatform:
 		return s.onListing(e)
 	default:
@@ -148,6 +150,16 @@
 	}
 }
 
+// onPeer applies another instance's report of a drain, so that an instance that
+// rarely uses a server needs no request of its own to learn of it. Other states
+// are not taken over: they may be due to the path between the two.
+func (s *server) onPeer(e Event) []Transition {
+	if e.Peer != Draining {
+		return nil
+	}
+	return s.move(actionDrain, Reason{Code: CodePeerDraining, Evidence: e.Kind}, false, e.At)
+}
+
 // onListing applies the platform's list. "Leaving" is the owner's intention, which
 // successful requests do not contradict. "Absent" may be the list's lag.
 func (s *server) onListing(e Event) []Transition {
--- a/serverstate/reason.go
+++ b/serverstate/reason.go
@@ -34,6 +34,7 @@
 	CodeDrained
 	CodeCooldownOver
 	CodeRestarted
+	CodePeerDraining
 	CodeKeptInUse
 )
 
@@ -62,6 +63,7 @@
 	CodeDrained:           "drain time is over",
 	CodeCooldownOver:      "waiting time after the failure is over",
 	CodeRestarted:         "server answers again after it was gone",
+	CodePeerDraining:      "another entry instance saw the server leave",
 	CodeKeptInUse:         "kept in use: half of the zone's servers are already out on soft evidence",
 }
 
--- a/serverstate/tracker.go
+++ b/serverstate/tracker.go
@@ -143,6 +143,17 @@
 	return s.state, s.reason
 }
 
+// Report returns the state of a server for the digest, as this instance's own
+// evidence supports it. A drain learned from another instance is left out, so that
+// two instances do not confirm it to each other forever.
+func (t *Tracker) Report(name string) State {
+	state, reason := t.State(name)
+	if reason.Code == CodePeerDraining {
+		return 0
+	}
+	return state
+}
+
 // Latency returns the server's recent average latency, zero when unknown.
 func (t *Tracker) Latency(name string) time.Duration {
 	t.mu.RLock()
--- a/serverstate/weight.go
+++ b/serverstate/weight.go
@@ -20,9 +20,9 @@
 	loadHighWeight = 0.5
 	// shedStep and shedFloor: each shed response multiplies the weight, down to
 	// the floor. shedRecovery is the gain per second without one.
-	shedStep     = 0.7
-	shedFloor    = 0.1
-	shedRecovery = 0.1
+	shedStep     = 0.85
+	shedFloor    = 0.3
+	shedRecovery = 0.25
 	// slowFrom is the ratio of recent latency to history from which the weight
 	// falls, slowOut the one that takes the server out.
 	slowFrom = 3.0
