entry: size the fair queues by the room at servers, test a fleet under failure

Cause: a request that found no room was refused at once, the queue was sized by all slots of the deployment and so never held anybody back, and grants to other regions kept local requests out: with 8 requests to an idle region of 28 slots, 3 were refused as 'capacity in use or granted (12 of 12 in use)'.

Change: one fair queue for each service, sized every 50 ms by the requests in progress and the room that the balancer knows of; a request that finds no room waits for the policy's queue wait; grants follow the demand of other regions (package headroom), which digests carry. A fleet of entry instances with stand-ins in one process is started by internal/testfleet.

Ruled out: a queue bound of the region's static share, which leaves the slots of an idle neighbour unused.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -150,7 +150,7 @@
 		next.book = placement.NewBook(placement.Instance{Name: b.opts.Name, Zone: b.opts.Zone, Region: region})
 		next.links = headroom.NewLinks(region, nil, b.linkSharers(index, region))
 		next.holder = headroom.NewHolder(next.links)
-		next.publisher = headroom.NewPublisher(region)
+		next.publisher = headroom.NewPublisher(b.opts.Name)
 	}
 	next.links.Set(region, index.Document().Links, b.linkSharers(index, region))
 	b.setServers(old, next, now)
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -18,27 +18,43 @@
 	return placement.Inputs{States: b.tracker, Policy: s.index.Document().Policy}
 }
 
-// Loads returns this instance's use of the backend servers of its region, for
-// peers in the region. Servers without use are left out; a report of any server
-// says that the others are idle.
-func (b *Balancer) Loads() []*peerpb.ServerLoad {
+// loads returns this instance's use of all servers, grants to other regions
+// included.
+func (b *Balancer) loads(s *state, now time.Time) []placement.Load {
+	granted := func(service string) int { return s.publisher.Granted(service, now) }
+	return s.book.Loads(granted, s.index.Document().Policy)
+}
+
+// Loads returns this instance's use and view of the backend servers of its
+// region, for peers in the region. Servers without use that are serving are left
+// out; a report of any server says that the others are idle.
+func (b *Balancer) Loads(now time.Time) []*peerpb.ServerLoad {
 	s := b.current()
 	if s == nil {
 		return nil
 	}
 	var out []*peerpb.ServerLoad
-	for _, load := range s.book.Loads() {
-		region, _ := s.index.Region(s.servers[load.Server].Zone)
-		if region != s.region || load.InUse == 0 {
+	for _, load := range b.loads(s, now) {
+		if !s.inRegion(load.Server) {
+			continue
+		}
+		seen := b.tracker.Report(load.Server)
+		if load.InUse == 0 && seen != serverstate.Draining {
 			continue
 		}
-		state, _ := b.tracker.State(load.Server)
-		out = append(out, &peerpb.ServerLoad{Server: load.Server, Outstanding: uint32(load.InUse), State: uint32(state)})
+		out = append(out, &peerpb.ServerLoad{Server: load.Server, Outstanding: uint32(load.InUse), State: uint32(seen)})
 	}
 	return out
 }
 
-// MergeLoads takes the use reported by an entry instance of the same region.
+// inRegion reports whether a backend server is in the own region.
+func (s *state) inRegion(server string) bool {
+	region, _ := s.index.Region(s.servers[server].Zone)
+	return region == s.region
+}
+
+// MergeLoads takes the use and view of servers reported by an entry instance of
+// the same region.
 func (b *Balancer) MergeLoads(instance string, loads []*peerpb.ServerLoad, age time.Duration, now time.Time) {
 	s := b.current()
 	if s == nil {
@@ -47,9 +63,12 @@
 	inUse := make(map[string]int, len(loads))
 	for _, load := range loads {
 		inUse[load.GetServer()] = int(load.GetOutstanding())
+		if serverstate.State(load.GetState()) == serverstate.Draining {
+			b.observe(serverstate.Event{Server: load.GetServer(), Kind: serverstate.KindPeer, At: now, Peer: serverstate.Draining})
+		}
 	}
-	for name, server := range s.servers {
-		if region, _ := s.index.Region(server.Zone); region == s.region {
+	for name := range s.servers {
+		if s.inRegion(name) {
 			s.book.Report(instance, name, inUse[name], age, now)
 		}
 	}
@@ -73,20 +92,44 @@
 		return nil
 	}
 	outsiders := b.outsiders(s)
-	index := sort.SearchStrings(outsiders, to)
-	if index == len(outsiders) || outsiders[index] != to {
+	in := b.localInputs(s)
+	var out []*peerpb.Reservation
+	for _, service := range s.index.Document().Services {
+		spare := s.book.Spare(service.Name, in, now)
+		granted := s.publisher.Grant(service.Name, to, outsiders, spare, now)
+		if granted > 0 {
+			out = append(out, &peerpb.Reservation{Region: s.region, Service: service.Name, PerInstance: uint32(granted)})
+		}
+	}
+	return out
+}
+
+// Wants returns the room that this instance would like to have in other regions.
+func (b *Balancer) Wants(now time.Time) []*peerpb.Want {
+	s := b.current()
+	if s == nil {
 		return nil
 	}
-	var out []*peerpb.Reservation
-	in := b.localInputs(s)
+	var out []*peerpb.Want
 	for _, service := range s.index.Document().Services {
-		limit, inUse := s.book.Capacity(service.Name, in, now)
-		granted := s.publisher.Grant(service.Name, to, index, len(outsiders), headroom.Capacity{Limit: limit, InUse: inUse}, now)
-		out = append(out, &peerpb.Reservation{Region: s.region, Service: service.Name, PerInstance: uint32(granted)})
+		if wanted := s.holder.Wanted(service.Name, now); wanted > 0 {
+			out = append(out, &peerpb.Want{Service: service.Name, Requests: uint32(wanted)})
+		}
 	}
 	return out
 }
 
+// MergeWants takes what an instance of another region would like to have.
+func (b *Balancer) MergeWants(instance string, wants []*peerpb.Want, now time.Time) {
+	s := b.current()
+	if s == nil {
+		return
+	}
+	for _, w := range wants {
+		s.publisher.Want(w.GetService(), instance, int(w.GetRequests()), now)
+	}
+}
+
 // outsiders lists the entry instances of other regions.
 func (b *Balancer) outsiders(s *state) []string {
 	var names []string
@@ -100,19 +143,28 @@
 	return names
 }
 
-// MergeGrants takes grants from the reply of an entry instance. age is an upper
-// bound of the time since they were made.
-func (b *Balancer) MergeGrants(publisher string, grants []*peerpb.Reservation, age time.Duration, now time.Time) {
+// MergeGrants takes grants from the reply of an entry instance in zone. A service
+// that is not named has none. age is an upper bound of the time since they were
+// made.
+func (b *Balancer) MergeGrants(publisher, zone string, grants []*peerpb.Reservation, age time.Duration, now time.Time) {
 	s := b.current()
 	if s == nil {
 		return
 	}
+	region, ok := s.index.Region(zone)
+	if !ok || region == s.region {
+		return
+	}
+	granted := make(map[string]int, len(grants))
 	for _, g := range grants {
+		granted[g.GetService()] = int(g.GetPerInstance())
+	}
+	for _, service := range s.index.Document().Services {
 		s.holder.Report(headroom.Report{
 			Publisher: publisher,
-			Region:    g.GetRegion(),
-			Service:   g.GetService(),
-			Requests:  int(g.GetPerInstance()),
+			Region:    region,
+			Service:   service.Name,
+			Requests:  granted[service.Name],
 			Age:       age,
 		}, now)
 	}
@@ -164,7 +216,7 @@
 		return nil
 	}
 	var out []ServerStatus
-	for _, load := range s.book.Loads() {
+	for _, load := range s.book.Loads(func(string) int { return 0 }, s.index.Document().Policy) {
 		server := s.servers[load.Server]
 		state, reason := b.tracker.State(load.Server)
 		weight, _ := b.tracker.Eligible(load.Server, now)
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -10,8 +10,7 @@
 type metrics struct {
 	placements *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
-	capacity   *prometheus.GaugeVec
-	inUse      *prometheus.GaugeVec
+	room       *prometheus.GaugeVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -24,16 +23,12 @@
 			Name: "jacinthrack_placement_refusals_total",
 			Help: "Attempts without a server by service and problem type.",
 		}, []string{"service", "problem"}),
-		capacity: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "jacinthrack_region_capacity_requests",
-			Help: "Requests in progress that this instance may have in its own region.",
-		}, []string{"service"}),
-		inUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "jacinthrack_region_in_use_requests",
-			Help: "Requests in progress of this instance in its own region.",
+		room: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "jacinthrack_room_requests",
+			Help: "Further requests that this instance has room for, in all regions.",
 		}, []string{"service"}),
 	}
-	registry.MustRegister(m.placements, m.refusals, m.capacity, m.inUse)
+	registry.MustRegister(m.placements, m.refusals, m.room)
 	return m
 }
 
@@ -43,10 +38,7 @@
 	if s == nil {
 		return
 	}
-	in := b.localInputs(s)
 	for _, service := range s.index.Document().Services {
-		limit, inUse := s.book.Capacity(service.Name, in, now)
-		m.capacity.WithLabelValues(service.Name).Set(float64(limit))
-		m.inUse.WithLabelValues(service.Name).Set(float64(inUse))
+		m.room.WithLabelValues(service.Name).Set(float64(b.room(s, service.Name, now)))
 	}
 }
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -36,37 +36,98 @@
 	return b.budgets.Next(a, nextHop, time.Now(), b.rng)
 }
 
-// Pick implements forward.Balancer.
-func (b *Balancer) Pick(_ context.Context, call forward.Call) (*forward.Pick, *problem.Document) {
-	now := time.Now()
+// roomCheckInterval is the time between two looks for room while a request waits.
+const roomCheckInterval = 5 * time.Millisecond
+
+// Pick implements forward.Balancer. A request that finds no room waits for the
+// policy's queue wait.
+func (b *Balancer) Pick(ctx context.Context, call forward.Call) (*forward.Pick, *problem.Document) {
 	s := b.current()
 	if s == nil {
 		return nil, problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.RanNo, "no configuration is in force").WithRetryAfter(retryAfter)
 	}
-	decision, refusal := b.place(s, call, now)
-	if refusal != nil {
-		b.logRefusal(call, refusal)
-		return nil, refusal
+	deadline := time.Now().Add(s.index.Document().Policy.QueueWait.Std())
+	for first := true; ; first = false {
+		now := time.Now()
+		decision, err := b.place(s, call, now)
+		if err == nil {
+			return b.picked(s, call, decision), nil
+		}
+		if first {
+			b.miss(s, call, err, now)
+		}
+		if !isFull(err) || now.After(deadline) || !sleep(ctx, roomCheckInterval) {
+			refusal := refusalOf(err)
+			b.logRefusal(call, decision, refusal)
+			return nil, refusal
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isFull reports a refusal that ends when a request in progress ends.
+func isFull(err error) bool {
+	var none *placement.NoServerError
+	return errors.As(err, &none) && none.Overloaded
+}
+
+// miss tells headroom about a request that found no server.
+func (b *Balancer) miss(s *state, call forward.Call, err error, now time.Time) {
+	var none *placement.NoServerError
+	if errors.As(err, &none) && !none.HeldBack {
+		s.holder.Miss(call.Route.Service, b.typicalLatency(s, call.Route.Service), now)
+	}
+}
+
+// defaultLatency stands in for the latency of a service without requests so far.
+const defaultLatency = 20 * time.Millisecond
+
+// typicalLatency returns the mean latency of a service's servers.
+func (b *Balancer) typicalLatency(s *state, service string) time.Duration {
+	var sum time.Duration
+	count := 0
+	for _, server := range s.index.Servers(service) {
+		if latency := b.tracker.Latency(server.Name); latency > 0 {
+			sum += latency
+			count++
+		}
+	}
+	if count == 0 {
+		return defaultLatency
 	}
-	b.logPlacement(call, decision)
-	server := s.servers[decision.Server]
-	ticket := &ticket{balancer: b, state: s, call: call, decision: decision}
-	return &forward.Pick{Server: &server, Reason: decision.Why.String(), Done: ticket.done}, nil
+	return sum / time.Duration(count)
+}
+
+func (b *Balancer) picked(s *state, call forward.Call, d placement.Decision) *forward.Pick {
+	b.logPlacement(call, d)
+	server := s.servers[d.Server]
+	ticket := &ticket{balancer: b, state: s, call: call, decision: d}
+	return &forward.Pick{Server: &server, Reason: d.Why.String(), Done: ticket.done}
 }
 
 // place chooses a server and reserves everything that the attempt needs.
-func (b *Balancer) place(s *state, call forward.Call, now time.Time) (placement.Decision, *problem.Document) {
+func (b *Balancer) place(s *state, call forward.Call, now time.Time) (placement.Decision, error) {
 	in := b.inputs(s, call, now)
 	req := b.request(s, call, now)
 	b.mu.Lock()
 	decision := s.book.Place(req, in, b.rng, now)
 	b.mu.Unlock()
 	if err := decision.Err(call.Route.Service); err != nil {
-		return decision, noServer(err)
+		return decision, err
 	}
-	if err := b.reserve(s, call, decision, in, now); err != nil {
+	if err := b.reserve(s, call, decision, now); err != nil {
 		s.book.Done(decision.Server)
-		return decision, refusalOf(err)
+		return decision, err
 	}
 	return decision, nil
 }
@@ -76,6 +137,8 @@
 		States: b.tracker,
 		Policy: s.index.Document().Policy,
 		Spill:  make(map[string]error),
+		// Room that other regions were granted is not for local requests.
+		Reserved: s.publisher.Granted(call.Route.Service, now),
 	}
 	for _, region := range s.index.Document().Regions {
 		if region.Name != s.region {
@@ -120,45 +183,35 @@
 }
 
 // reserve takes what placement does not count: the quarantine's permit and the
-// headroom of the server's region.
-func (b *Balancer) reserve(s *state, call forward.Call, d placement.Decision, in placement.Inputs, now time.Time) error {
-	if err := b.quarantine.Begin(quarantine.Fingerprint(call.Fingerprint), d.Server, now); err != nil {
+// headroom of another region.
+func (b *Balancer) reserve(s *state, call forward.Call, d placement.Decision, now time.Time) error {
+	fingerprint := quarantine.Fingerprint(call.Fingerprint)
+	if err := b.quarantine.Begin(fingerprint, d.Server, now); err != nil {
 		return err
 	}
-	err := b.admit(s, call, d, in, now)
+	if d.Region == s.region {
+		return nil
+	}
+	err := s.holder.Admit(spill(d.Region, call), now)
 	if err != nil {
-		b.quarantine.End(quarantine.Fingerprint(call.Fingerprint), d.Server, false, now)
+		b.quarantine.End(fingerprint, d.Server, false, now)
 	}
 	return err
 }
 
-func (b *Balancer) admit(s *state, call forward.Call, d placement.Decision, in placement.Inputs, now time.Time) error {
-	if d.Region != s.region {
-		return s.holder.Admit(spill(d.Region, call), now)
-	}
-	limit, inUse := s.book.Capacity(call.Route.Service, in, now)
-	// The book counts this attempt already.
-	return s.publisher.AdmitLocal(call.Route.Service, headroom.Capacity{Limit: limit, InUse: inUse - 1}, now)
-}
-
-func noServer(err error) *problem.Document {
-	var none *placement.NoServerError
-	if errors.As(err, &none) && none.Overloaded {
-		return problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.RanNo, "%v", err).WithRetryAfter(retryAfter)
-	}
-	return problem.New(problem.TypeNoServer, http.StatusServiceUnavailable, problem.RanNo, "%v", err).WithRetryAfter(retryAfter)
-}
-
 func refusalOf(err error) *problem.Document {
 	var (
 		quarantined *quarantine.QuarantinedError
 		probation   *quarantine.ProbationError
+		none        *placement.NoServerError
 	)
 	switch {
 	case errors.As(err, &quarantined):
 		return problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, problem.RanNo, "%v", quarantined).WithRetryAfter(quarantined.RetryAfter)
 	case errors.As(err, &probation):
 		return problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, problem.RanNo, "%v", probation).WithRetryAfter(retryAfter)
+	case errors.As(err, &none) && !none.Overloaded:
+		return problem.New(problem.TypeNoServer, http.StatusServiceUnavailable, problem.RanNo, "%v", none).WithRetryAfter(retryAfter)
 	default:
 		return problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.RanNo, "%v", err).WithRetryAfter(retryAfter)
 	}
@@ -175,10 +228,11 @@
 		"shifted", d.Shifted, "static", d.Static, "rejected", rejected, "rejected_omitted", omitted)
 }
 
-func (b *Balancer) logRefusal(call forward.Call, refusal *problem.Document) {
+func (b *Balancer) logRefusal(call forward.Call, d placement.Decision, refusal *problem.Document) {
+	rejected, omitted := describe(d.Rejected)
 	b.metrics.refusals.WithLabelValues(call.Route.Service, string(refusal.Type)).Inc()
 	b.log.Info("placement refused", "request_id", call.RequestID, "customer", call.Customer, "route", call.Route.Name,
-		"attempt", call.Attempt, "reason", refusal.Detail)
+		"attempt", call.Attempt, "reason", refusal.Detail, "rejected", rejected, "rejected_omitted", omitted)
 }
 
 func describe(rejections []placement.Rejection) (texts []string, omitted int) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,14 +60,15 @@
 	kernel    *kernel.Registry
 	listeners listeners
 
-	members  *membership
-	config   *configuration
-	lookups  *lookups
-	limiter  *limiter
-	keys     *keyService
-	balancer *balancer.Balancer
-	peers    *peer.Service
-	gossip   *gossip
+	members   *membership
+	config    *configuration
+	lookups   *lookups
+	limiter   *limiter
+	keys      *keyService
+	balancer  *balancer.Balancer
+	admission *admission
+	peers     *peer.Service
+	gossip    *gossip
 }
 
 // listeners are opened before anything else, so that an address in use is found
@@ -167,6 +168,7 @@
 		Registry: e.registry,
 		Log:      e.log,
 	})
+	e.admission = newAdmission(e.config, e.balancer)
 	e.gossip = &gossip{members: e.members, config: e.config, keys: e.keys, balancer: e.balancer, log: e.log}
 	peers, err := e.newPeers()
 	if err != nil {
@@ -176,7 +178,7 @@
 	e.gossip.peers = peers
 	claimService := newClaimService(self, store, e.members, e.log)
 	services := []kernel.Service{
-		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.lookups, e.gossip, peers, claimService,
+		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.admission, e.lookups, e.gossip, peers, claimService,
 		e.callerHTTP(claimService), e.operatorHTTP(),
 	}
 	for _, s := range services {
@@ -241,6 +243,16 @@
 	return err
 }
 
+// Kill ends the instance as a crash would: requests in progress break off, no
+// share or registration is given back, and no peer is told. It is for tests of
+// failures.
+func (e *Entry) Kill() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	// Errors are expected, since every call to the platform fails at once.
+	_ = e.kernel.Stop(ended)
+}
+
 // Settings returns the settings with the addresses that the instance listens on.
 func (e *Entry) Settings() settings.Entry { return e.settings }
 
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -54,7 +54,9 @@
 	}
 	sameRegion := g.balancer.SameRegion(to.Zone)
 	if sameRegion {
-		d.Servers = g.balancer.Loads()
+		d.Servers = g.balancer.Loads(now)
+	} else {
+		d.Wants = g.balancer.Wants(now)
 	}
 	if !to.Reply {
 		return d
@@ -80,7 +82,7 @@
 func (g *gossip) MergeReply(ctx context.Context, d *peerpb.Digest, roundTrip time.Duration) {
 	received := time.Now()
 	g.mergeCommon(ctx, d, roundTrip)
-	g.balancer.MergeGrants(d.GetSender().GetName(), d.GetReservations(), roundTrip, received)
+	g.balancer.MergeGrants(d.GetSender().GetName(), d.GetSender().GetZone(), d.GetReservations(), roundTrip, received)
 	g.mergeKeys(ctx, d, received.Add(-roundTrip))
 }
 
@@ -98,6 +100,7 @@
 	if g.balancer.SameRegion(d.GetSender().GetZone()) {
 		g.balancer.MergeLoads(d.GetSender().GetName(), d.GetServers(), delay, now)
 	}
+	g.balancer.MergeWants(d.GetSender().GetName(), d.GetWants(), now)
 	g.offer(ctx, d.GetSender().GetName(), d.GetConfig())
 }
 
--- a/entry/services.go
+++ b/entry/services.go
@@ -10,8 +10,6 @@
 
 	"github.com/jacinthrack/jacinthrack/balancer"
 	"github.com/jacinthrack/jacinthrack/claims"
-	"github.com/jacinthrack/jacinthrack/configstore"
-	"github.com/jacinthrack/jacinthrack/fairqueue"
 	"github.com/jacinthrack/jacinthrack/forward"
 	"github.com/jacinthrack/jacinthrack/identity"
 	"github.com/jacinthrack/jacinthrack/kernel"
@@ -63,16 +61,11 @@
 // callerHTTP returns the service for look-ups and requests.
 func (e *Entry) callerHTTP(claimed *claimService) *httpService {
 	transport := forward.NewTransport()
-	limiter := fairqueue.NewLimiter(fairqueue.DefaultBounds(1))
-	e.config.Subscribe(func(s *configstore.Snapshot) {
-		limiter.SetBounds(admissionBounds(s))
-		e.balancer.SetConfig(s.Index, time.Now())
-	})
 	data := forward.New(forward.Options{
 		Config:     e.config.index,
 		Authorizer: e.keys,
 		Limiter:    &rateLimiter{manager: e.limiter.Manager},
-		Admission:  &admission{limiter: limiter},
+		Admission:  e.admission,
 		Balancer:   e.balancer,
 		Claims:     &claimer{store: claimed.store, log: e.log},
 		Transport:  transport,
@@ -81,7 +74,7 @@
 	})
 	return &httpService{
 		name:     callerHTTPName,
-		requires: []string{claimsName, operatorHTTPName},
+		requires: []string{claimsName, admissionName, operatorHTTPName},
 		listener: e.listeners.caller,
 		log:      e.log,
 		handler: func() http.Handler {
@@ -95,21 +88,6 @@
 	}
 }
 
-// admissionBounds sizes the fair queue by the slots of all backend servers. The
-// balancer refuses what its region has no room for; the queue bounds memory and
-// keeps customers apart.
-func admissionBounds(s *configstore.Snapshot) fairqueue.Bounds {
-	slots := 0
-	for _, server := range s.Document().BackendServers {
-		slots += server.Slots
-	}
-	bounds := fairqueue.DefaultBounds(max(1, slots))
-	if wait := s.Document().Policy.QueueWait.Std(); wait > 0 {
-		bounds.MaxWait = wait
-	}
-	return bounds
-}
-
 // beforeDrain takes the instance out of look-ups and waits until the answers that
 // still name it have expired, so that callers have moved on before connections
 // are refused.
@@ -134,7 +112,7 @@
 // operatorHTTP returns the service for operators, metrics and health.
 func (e *Entry) operatorHTTP() *httpService {
 	return &httpService{
-		name:     operatorHTTPName,
+		name: operatorHTTPName,
 		// Operators can look at an instance until its requests have finished.
 		requires: []string{lookupName, limitsName, keysName, balancer.ServiceName, peer.ServiceName},
 		listener: e.listeners.operator,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -62,8 +62,8 @@
 
 // Admission bounds the work in progress and shares it fairly between customers.
 type Admission interface {
-	// Acquire waits for room. release must be called once.
-	Acquire(ctx context.Context, customer string, weight float64) (release func(), refusal *problem.Document)
+	// Acquire waits for room at a service. release must be called once.
+	Acquire(ctx context.Context, service, customer string, weight float64) (release func(), refusal *problem.Document)
 }
 
 // Call describes one attempt to the Balancer.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -46,7 +46,7 @@
 	if refusal := h.limit(x); refusal != nil {
 		return refusal
 	}
-	release, refusal := h.Admission.Acquire(ctx, x.customer, x.weight(index))
+	release, refusal := h.Admission.Acquire(ctx, x.route.Service, x.customer, x.weight(index))
 	if refusal != nil {
 		return refusal
 	}
--- /dev/null
+++ b/internal/testfleet/testfleet.go
@@ -0,0 +1,183 @@
+// Package testfleet starts entry instances, a platform stand-in and backend
+// servers in one process. The demo and the tests use it; each part listens on
+// loopback addresses as its own process would.
+package testfleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/entry"
+	"github.com/jacinthrack/jacinthrack/internal/standin/backend"
+	standin "github.com/jacinthrack/jacinthrack/internal/standin/platform"
+	"github.com/jacinthrack/jacinthrack/operatorapi"
+	"github.com/jacinthrack/jacinthrack/platform"
+	"github.com/jacinthrack/jacinthrack/settings"
+)
+
+// anyAddress is a loopback address with a port that the system chooses.
+const anyAddress = "127.0.0.1:0"
+
+// OperatorToken is the operator token of every instance.
+const OperatorToken = "testfleet"
+
+// Options describe a fleet.
+type Options struct {
+	// Document is the configuration to publish. The addresses of its backend
+	// servers are replaced.
+	Document *config.Document
+	// Zones names the availability zone of each entry instance.
+	Zones []string
+	// ServiceTime is the duration of a request on a backend server.
+	ServiceTime time.Duration
+	Log         *slog.Logger
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Platform *standin.Server
+	Backends *backend.Fleet
+	Entries  []*entry.Entry
+	Document *config.Document
+
+	options Options
+	cancel  context.CancelFunc
+}
+
+// Start starts the stand-ins and the entry instances and publishes the
+// configuration.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{options: o}
+	if err := f.startStandins(); err != nil {
+		return nil, err
+	}
+	for i := range o.Zones {
+		if _, err := f.AddEntry(ctx, i); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	if _, err := f.Operator(0).Publish(ctx, f.Document, 0); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startStandins() error {
+	server, err := standin.NewServer(anyAddress)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.Platform = server
+	go func() {
+		if err := server.Serve(ctx); err != nil {
+			f.options.Log.Error("platform stand-in failed", "error", err)
+		}
+	}()
+	document := *f.options.Document
+	document.BackendServers = append([]config.BackendServer(nil), document.BackendServers...)
+	for i := range document.BackendServers {
+		document.BackendServers[i].Address = anyAddress
+	}
+	f.Backends, err = backend.Start(backend.Options{
+		Servers:     document.BackendServers,
+		ServiceTime: f.options.ServiceTime,
+		Jitter:      0.2,
+		Log:         f.options.Log,
+	})
+	if err != nil {
+		cancel()
+		return err
+	}
+	document.BackendServers = f.Backends.BackendServers()
+	f.Document = &document
+	f.listInstances()
+	return nil
+}
+
+// EntryName returns the name of the entry instance with the index.
+func EntryName(index int) string { return fmt.Sprintf("entry-%d", index) }
+
+// listInstances sets the platform's instance list.
+func (f *Fleet) listInstances() {
+	var list []platform.Instance
+	for i, zone := range f.options.Zones {
+		list = append(list, platform.Instance{Name: EntryName(i), Zone: zone, State: platform.InstanceLive})
+	}
+	f.Platform.Store.SetInstances(list, time.Now())
+}
+
+// AddEntry starts the entry instance with the index, or its replacement.
+func (f *Fleet) AddEntry(ctx context.Context, index int) (*entry.Entry, error) {
+	e, err := entry.New(entry.Options{
+		Settings: settings.Entry{
+			Name:            EntryName(index),
+			Zone:            f.options.Zones[index],
+			CallerAddress:   anyAddress,
+			OperatorAddress: anyAddress,
+			PeerAddress:     anyAddress,
+			Platform:        f.Platform.URL(),
+			Seeds:           f.seeds(),
+			InsecurePeers:   true,
+			OperatorToken:   OperatorToken,
+		},
+		Log: f.options.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := e.Start(ctx); err != nil {
+		return nil, err
+	}
+	if index < len(f.Entries) {
+		f.Entries[index] = e
+	} else {
+		f.Entries = append(f.Entries, e)
+	}
+	return e, nil
+}
+
+func (f *Fleet) seeds() []string {
+	var seeds []string
+	for _, e := range f.Entries {
+		if e != nil {
+			seeds = append(seeds, e.Settings().PeerAddress)
+		}
+	}
+	return seeds
+}
+
+// Operator returns an operator client of an entry instance.
+func (f *Fleet) Operator(index int) *operatorapi.Client {
+	return operatorapi.NewClient("http://"+f.Entries[index].Settings().OperatorAddress, OperatorToken, "testfleet")
+}
+
+// CallerURL returns the base URL of an entry instance for callers.
+func (f *Fleet) CallerURL(index int) string {
+	return "http://" + f.Entries[index].Settings().CallerAddress
+}
+
+// Kill ends an entry instance without a drain and without telling anybody.
+func (f *Fleet) Kill(index int) {
+	f.Entries[index].Kill()
+	f.Entries[index] = nil
+}
+
+// Stop ends everything without a drain.
+func (f *Fleet) Stop() {
+	for i, e := range f.Entries {
+		if e != nil {
+			f.Kill(i)
+		}
+	}
+	if f.Backends != nil {
+		f.Backends.Close()
+	}
+	f.cancel()
+}
