limits: test the table adapter and the terms of shares

Cause: deadlines, lost replies, read-back, jitter and the write bound are in the adapter, which the random interleavings do not run.

Change: managers run in virtual time (synctest) on a store that is slow, down or loses replies, with every admission charged to one exact bucket. Release now repeats after a conflict. Further tests cover the terms of lease and floor, the retry-after, the gap between writes, and idle holders, which do not write.

--- a/limits/holder.go
+++ b/limits/holder.go
@@ -193,10 +193,10 @@
 func (h *Holder) Leave(now time.Time) (Proposal, bool) {
 	h.closed = true
 	h.use(Share{}, Share{}, now)
-	i := h.row.index(h.id)
-	if i < 0 && len(h.attempts) == 0 {
+	if h.Left() {
 		return Proposal{}, false
 	}
+	i := h.row.index(h.id)
 	next := h.row.clone()
 	if i >= 0 {
 		next.Holders = append(next.Holders[:i], next.Holders[i+1:]...)
@@ -204,6 +204,10 @@
 	return h.send(next, now), true
 }
 
+// Left reports whether the ledger has no entry of this holder and no write of it
+// is open.
+func (h *Holder) Left() bool { return h.row.index(h.id) < 0 && len(h.attempts) == 0 }
+
 func (h *Holder) send(next Ledger, now time.Time) Proposal {
 	h.counter++
 	if i := next.index(h.id); i >= 0 {
--- /dev/null
+++ b/limits/holder_test.go
@@ -0,0 +1,84 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// newTestHolder returns a holder that created a row at start and has demand.
+func newTestHolder(t *testing.T) *Holder {
+	h := NewHolder("a/1", "a", DefaultPolicy(), start.Add(-time.Second))
+	h.SetLimit(ShareOf(100, 100), 1)
+	h.demand.add(500)
+	h.Observe(Ledger{}, 0, start)
+	p, due := h.Propose(start)
+	must.True(t, due)
+	h.Written(p, 1, start.Add(time.Second))
+	return h
+}
+
+// Guards against a lease or floor that lasts beyond its term, counted from before
+// the write, and against a floor that ends with the lease.
+func TestSharesEndWithTheirTerms(t *testing.T) {
+	cases := []struct {
+		after time.Duration
+		want  Share
+	}{
+		{2 * time.Second, ShareOf(100, 100)},
+		{10*time.Second - 1, ShareOf(100, 100)},
+		{10 * time.Second, ShareOf(50, 50)},
+		{time.Hour - 1, ShareOf(50, 50)},
+		{time.Hour, Share{}},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.want, newTestHolder(t).Using(start.Add(c.after)), must.Sprintf("after %s", c.after))
+	}
+}
+
+// Guards against a wait after which the request is still refused, and against an
+// unbounded wait for a cost that the share never admits.
+func TestRetryAfterIsSufficient(t *testing.T) {
+	h := newTestHolder(t)
+	now := start.Add(time.Second)
+	must.True(t, h.Allow(100, now).Allowed)
+	refused := h.Allow(30, now)
+	must.Eq(t, Decision{RetryAfter: 300 * time.Millisecond, Reason: ReasonRate}, refused)
+	must.False(t, h.Allow(30, now.Add(refused.RetryAfter-time.Millisecond)).Allowed)
+	must.True(t, h.Allow(30, now.Add(refused.RetryAfter)).Allowed)
+	must.Eq(t, ReasonNoShare, h.Allow(101, now).Reason)
+}
+
+// Guards against writes more often than the policy allows when steps come fast
+// and each write meets a conflict.
+func TestWritesKeepTheGap(t *testing.T) {
+	h := newTestHolder(t)
+	writes := 0
+	for i := range 1000 {
+		now := start.Add(time.Second + time.Duration(i)*100*time.Millisecond)
+		if p, due := h.Propose(now); due {
+			writes++
+			h.Failed(p, now)
+		}
+	}
+	must.Between(t, 20, writes, 100)
+}
+
+// Guards against tokens that appear or stay when a share changes, and against a
+// clock reading from before the last one.
+func TestBucketShareChanges(t *testing.T) {
+	b := NewBucket(ShareOf(10, 20), true, start)
+	b.SetShare(ShareOf(10, 5), start)
+	must.Eq(t, 5, b.Tokens())
+	b.SetShare(ShareOf(10, 50), start)
+	must.Eq(t, 5, b.Tokens())
+	b.Advance(start.Add(time.Second))
+	b.Advance(start)
+	must.Eq(t, 15, b.Tokens())
+	must.False(t, b.Take(-1, start))
+	must.False(t, b.Take(15.5, start))
+	must.True(t, b.Take(15, start))
+}
--- /dev/null
+++ b/limits/manager_test.go
@@ -0,0 +1,183 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/platform/memory"
+)
+
+const testLimit = "acme"
+
+// cluster is a number of managers on one store, and an exact bucket that is
+// charged with every admission.
+type cluster struct {
+	t        *testing.T
+	store    *memory.Store
+	managers []*Manager
+	mu       sync.Mutex
+	exact    Bucket
+	admitted []int // per manager
+}
+
+func newCluster(t *testing.T, n int, limit Limit, fault memory.FaultFunc) *cluster {
+	c := &cluster{t: t, store: memory.New(), admitted: make([]int, n)}
+	c.exact = NewBucket(limit.Share(), true, time.Now())
+	c.store.SetFault(fault)
+	for i := range n {
+		m := NewManager(Options{
+			Table: c.store, ID: fmt.Sprintf("entry-%d/1", i), Instance: fmt.Sprintf("entry-%d", i),
+			Rand: rand.New(rand.NewPCG(1, uint64(i))),
+		})
+		must.NoError(t, m.SetLimits(1, []Limit{limit}))
+		c.managers = append(c.managers, m)
+	}
+	return c
+}
+
+// offer sends requests to manager i with the given pause until ctx ends.
+func (c *cluster) offer(ctx context.Context, i int, pause time.Duration) {
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		now := time.Now()
+		if c.managers[i].Allow(testLimit, 1, now).Allowed {
+			c.admitted[i]++
+			if !c.exact.Take(1-1e-9, now) {
+				c.t.Errorf("manager %d admitted a request above burst + rate·t", i)
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+// run drives all managers for d. pauses gives the time between requests at each.
+func (c *cluster) run(d time.Duration, pauses ...time.Duration) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), d)
+	defer cancel()
+	var wait sync.WaitGroup
+	for i, m := range c.managers {
+		wait.Go(func() { _ = m.Run(ctx) })
+		wait.Go(func() { c.offer(ctx, i, pauses[i%len(pauses)]) })
+	}
+	wait.Wait()
+}
+
+// randomFaults returns faults with the given probabilities and delays up to slow.
+func randomFaults(seed uint64, down, lost float64, slow time.Duration) memory.FaultFunc {
+	r := rand.New(rand.NewPCG(seed, 0))
+	return func(memory.Op) memory.Fault {
+		return memory.Fault{
+			Down:      r.Float64() < down,
+			LoseReply: r.Float64() < lost,
+			Delay:     time.Duration(r.Int64N(int64(slow) + 1)),
+		}
+	}
+}
+
+// Guards against over-admission and unbounded writes through the adapter, with
+// its deadlines, jitter and read-back, on a store that fails in the stated way.
+func TestManagersStayWithinLimitOnFaultyStore(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault memory.FaultFunc
+	}{
+		{"healthy", nil},
+		{"slow", randomFaults(1, 0, 0, time.Second)},
+		{"slower than the deadline", randomFaults(2, 0, 0, 5*time.Second)},
+		{"half of the calls fail", randomFaults(3, 0.5, 0, 20*time.Millisecond)},
+		{"half of the replies are lost", randomFaults(4, 0, 0.5, 20*time.Millisecond)},
+		{"everything", randomFaults(5, 0.2, 0.3, 3*time.Second)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, 4, Limit{Name: testLimit, RatePerSecond: 50, Burst: 100}, c.fault)
+				const period = 2 * time.Minute
+				cluster.run(period, 5*time.Millisecond, 100*time.Millisecond)
+				maxWrites := len(cluster.managers) * int(period/DefaultPolicy().MinWriteGap)
+				must.LessEq(t, maxWrites, cluster.store.Counts().Transactions)
+			})
+		})
+	}
+}
+
+// Guards against a floor that ends with the lease while the store is down, and
+// against a lease that does not end.
+func TestFloorServesWhileStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, Limit{Name: testLimit, RatePerSecond: 100, Burst: 100}, nil)
+		c.run(30*time.Second, 5*time.Millisecond, time.Second)
+		busy := c.managers[0]
+		must.Greater(t, AmountOf(50), busy.Shares(time.Now())[testLimit].Rate)
+		c.store.SetFault(memory.Down)
+		c.run(30*time.Second, 5*time.Millisecond, time.Second)
+		must.Eq(t, ShareOf(25, 25), busy.Shares(time.Now())[testLimit])
+	})
+}
+
+// Guards against shares that stay lost after a graceful stop, and against a
+// stopped process that still admits.
+func TestReleaseFreesShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, Limit{Name: testLimit, RatePerSecond: 100, Burst: 100}, nil)
+		c.run(30*time.Second, 5*time.Millisecond)
+		must.SliceEmpty(t, c.managers[0].Release(t.Context()))
+		must.False(t, c.managers[0].Allow(testLimit, 1, time.Now()).Allowed)
+		c.managers = c.managers[1:]
+		c.run(15*time.Second, 5*time.Millisecond)
+		must.Eq(t, ShareOf(100, 100), c.managers[0].Shares(time.Now())[testLimit])
+	})
+}
+
+// Guards against a lowered limit that is not in force within seconds while all
+// holders are reachable.
+func TestLoweredLimitComesIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, Limit{Name: testLimit, RatePerSecond: 100, Burst: 100}, nil)
+		c.run(30*time.Second, 5*time.Millisecond, time.Second)
+		lowered := Limit{Name: testLimit, RatePerSecond: 20, Burst: 20}
+		for _, m := range c.managers {
+			must.NoError(t, m.SetLimits(2, []Limit{lowered}))
+		}
+		c.run(6*time.Second, 5*time.Millisecond, time.Second)
+		var sum Share
+		for _, m := range c.managers {
+			sum = sum.Plus(m.Shares(time.Now())[testLimit])
+		}
+		must.True(t, sum.Within(lowered.Share()), must.Sprintf("shares sum to %+v", sum))
+	})
+}
+
+// Guards against writes by idle processes, which would use up the table's few
+// hundred writes per second.
+func TestIdleManagersDoNotWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 7, Limit{Name: testLimit, RatePerSecond: 100, Burst: 100}, nil)
+		c.run(time.Minute, time.Hour)
+		settled := c.store.Counts().Transactions
+		c.run(5*time.Minute, time.Hour)
+		must.Eq(t, settled, c.store.Counts().Transactions)
+	})
+}
+
+// Guards against configured values that make every comparison of tokens false.
+func TestSetLimitsRejectsInvalidValues(t *testing.T) {
+	m := NewManager(Options{Table: memory.New(), ID: "a/1", Instance: "a"})
+	err := m.SetLimits(1, []Limit{{Name: testLimit, RatePerSecond: -1, Burst: 1}})
+	must.Eq(t, error(&LimitValueError{Name: testLimit, Field: "rate per second", Value: -1}), err)
+	must.Eq(t, ReasonUnknown, m.Allow(testLimit, 1, time.Now()).Reason)
+}
--- a/limits/step.go
+++ b/limits/step.go
@@ -29,20 +29,42 @@
 	return append(errs, m.writeAll(ctx, (*Holder).Propose)...)
 }
 
+// releaseTries bounds the attempts of Release, which may meet conflicts.
+const releaseTries = 3
+
 // Release stops admitting and removes this process from all ledgers, so that
 // others can use its shares at once. It returns one *StepError for each ledger
-// that could not be written.
+// that could not be written; the shares in it end with their terms.
 func (m *Manager) Release(ctx context.Context) []error {
 	m.steps.Lock()
 	defer m.steps.Unlock()
-	readErr := m.readAll(ctx)
-	errs := m.writeAll(ctx, (*Holder).Leave)
-	if readErr != nil {
-		errs = append(errs, &StepError{Op: "read", Err: readErr})
+	var errs []error
+	for range releaseTries {
+		errs = nil
+		if err := m.readAll(ctx); err != nil {
+			errs = append(errs, &StepError{Op: "read", Err: err})
+		}
+		errs = append(errs, m.writeAll(ctx, (*Holder).Leave)...)
+		if m.left() {
+			return nil
+		}
 	}
 	return errs
 }
 
+// left reports whether this process is in no ledger.
+func (m *Manager) left() bool {
+	for _, s := range *m.slots.Load() {
+		s.mu.Lock()
+		gone := s.holder.Left()
+		s.mu.Unlock()
+		if !gone {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Manager) readAll(ctx context.Context) error {
 	rows, err := m.scan(ctx)
 	if err != nil {
