serverstate: test the invariants; let the latency history follow time only

Cause: the state machine had no tests. The latency test showed that at 20 responses per second a server six times slower than before lost only 7% of its weight after 3 s, and that the history took over the new latency within seconds: each sample moved the long average by at least 0.1%.

Change: tests; the minimum gain per sample is gone, so that only elapsed time moves the averages.

Each invariant test was seen failing on broken code: - closingPatience 4 s, or no check of an overdue sign in weight: TestLeavingServerGetsNoNewWork, 'weight 0.5 at 4.5s, first sign at 1.5s' - no check of an overdue sign in tick: the same test, 'still serving' - soft limit of all instead of half of the servers: TestSoftEvidenceKeepsHalf, '1 of 1 servers out' - warm weight 1: TestRecoveryIsGradual - bad probes count although requests succeed: TestEvidence/bad_probes_and_successes - peer drains repeated in the report: TestPeerDrainIsNotRepeated

Conclusion: go test -race ./serverstate passes.

--- /dev/null
+++ b/serverstate/serverstate_test.go
@@ -0,0 +1,231 @@
+package serverstate
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+// newZone tracks n serving servers s0, s1 and so on in one zone.
+func newZone(n int) *Tracker {
+	t := NewTracker()
+	for i := range n {
+		t.AddEstablished(Server{Name: fmt.Sprint("s", i), Service: "svc", Zone: "z", Probed: true}, epoch)
+	}
+	return t
+}
+
+func observe(t *Tracker, d time.Duration, e Event, times int) {
+	e.At = at(d)
+	if e.Server == "" {
+		e.Server = "s0"
+	}
+	for range times {
+		_, _ = t.Observe(e)
+	}
+}
+
+// Guards against evidence that leads to the wrong state or weight. Each case starts
+// with s0 serving among four servers.
+func TestEvidence(t *testing.T) {
+	ok := Event{Kind: KindSuccess, Latency: time.Millisecond}
+	closing := Event{Kind: KindSuccess, Latency: time.Millisecond, Closing: true}
+	type step struct {
+		event Event
+		times int
+	}
+	cases := []struct {
+		name  string
+		steps []step
+		state State
+		code  Code
+		soft  bool
+	}{
+		{"success", []step{{ok, 5}}, Serving, CodeEstablished, false},
+		{"refused connection", []step{{Event{Kind: KindRefused}, 1}}, Suspect, CodeRefused, false},
+		{"repeatedly refused", []step{{Event{Kind: KindRefused}, 5}}, Gone, CodeRefused, false},
+		{"single reset", []step{{Event{Kind: KindReset}, 1}}, Serving, CodeEstablished, false},
+		{"resets with a success between", []step{{Event{Kind: KindReset}, 2}, {ok, 1}, {Event{Kind: KindReset}, 2}}, Serving, CodeEstablished, false},
+		{"resets", []step{{Event{Kind: KindReset}, 3}}, Suspect, CodeResets, false},
+		{"server errors", []step{{Event{Kind: KindServerError}, 5}}, Suspect, CodeServerErrors, true},
+		{"shed responses", []step{{Event{Kind: KindShed}, 5}}, Suspect, CodeShedding, true},
+		{"closing responses", []step{{ok, 1}, {closing, 3}}, Draining, CodeClosingResponses, false},
+		{"closing shed responses", []step{{ok, 1}, {Event{Kind: KindShed, Closing: true}, 3}}, Draining, CodeClosingResponses, false},
+		{"closing responses, resolved", []step{{ok, 1}, {closing, 2}, {ok, 1}, {closing, 2}}, Serving, CodeEstablished, false},
+		{"server that always closes", []step{{closing, 9}}, Serving, CodeEstablished, false},
+		{"listed as leaving", []step{{ok, 1}, {Event{Kind: KindPlatform, Listing: ListedLeaving}, 1}}, Draining, CodeListedLeaving, false},
+		{"absent from the list but fine", []step{{ok, 1}, {Event{Kind: KindPlatform, Listing: ListedAbsent}, 1}}, Serving, CodeEstablished, false},
+		{"absent from the list", []step{{Event{Kind: KindPlatform, Listing: ListedAbsent}, 1}}, Suspect, CodeListedAbsent, true},
+		{"bad probes alone", []step{{Event{Kind: KindProbe}, 3}}, Suspect, CodeProbesBad, true},
+		{"bad probes and successes", []step{{ok, 1}, {Event{Kind: KindProbe}, 9}}, Serving, CodeEstablished, false},
+		{"fine probes and resets", []step{{Event{Kind: KindReset}, 2}, {Event{Kind: KindProbe, Healthy: true}, 9}, {Event{Kind: KindReset}, 1}}, Suspect, CodeResets, false},
+		{"peer saw the drain", []step{{ok, 1}, {Event{Kind: KindPeer, Peer: Draining}, 1}}, Draining, CodePeerDraining, false},
+		{"peer suspects", []step{{Event{Kind: KindPeer, Peer: Suspect}, 1}}, Serving, CodeEstablished, false},
+		{"refused while draining", []step{{ok, 1}, {closing, 3}, {Event{Kind: KindRefused}, 1}}, Gone, CodeRefused, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tr := newZone(4)
+			for _, s := range c.steps {
+				observe(tr, time.Second, s.event, s.times)
+			}
+			state, reason := tr.State("s0")
+			must.Eq(t, c.state, state)
+			must.Eq(t, c.code, reason.Code)
+			must.Eq(t, c.soft, tr.servers["s0"].soft)
+			weight, _ := tr.Eligible("s0", at(time.Second))
+			must.Eq(t, c.state == Serving, weight > 0)
+		})
+	}
+}
+
+// Guards against new work at a leaving server more than 3 s after the first sign,
+// at any request rate, with a health endpoint that keeps saying "fine".
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		gap := time.Duration(rapid.IntRange(5, 4000).Draw(rt, "gap ms")) * time.Millisecond
+		drain := time.Duration(rapid.IntRange(0, 10000).Draw(rt, "drain ms")) * time.Millisecond
+		ticks := rapid.Bool().Draw(rt, "ticks") // a late tick must not matter
+		tr := newZone(4)
+		firstSign := time.Duration(-1)
+		nextRequest, nextSecond := time.Duration(0), time.Duration(0)
+		for now := time.Duration(0); now < 30*time.Second; now += 5 * time.Millisecond {
+			if now >= nextSecond {
+				nextSecond += time.Second
+				if ticks {
+					tr.Tick(at(now))
+				}
+				observe(tr, now, Event{Kind: KindProbe, Healthy: true}, 1)
+			}
+			weight, reason := tr.Eligible("s0", at(now))
+			if firstSign >= 0 && now >= firstSign+3*time.Second && weight > 0 {
+				rt.Fatalf("weight %v at %s, first sign at %s: %s", weight, now, firstSign, reason)
+			}
+			state, _ := tr.State("s0")
+			if ticks && firstSign >= 0 && now >= firstSign+3*time.Second && state == Serving {
+				rt.Fatalf("still serving at %s, first sign at %s", now, firstSign)
+			}
+			if now < nextRequest || weight == 0 {
+				continue
+			}
+			nextRequest = now + gap
+			closing := now >= drain && now > 0
+			if closing && firstSign < 0 {
+				firstSign = now
+			}
+			observe(tr, now, Event{Kind: KindSuccess, Latency: time.Millisecond, Closing: closing}, 1)
+		}
+	})
+}
+
+// Guards against soft evidence that takes out more than half of a zone's servers,
+// for example a health endpoint that says "bad" everywhere.
+func TestSoftEvidenceKeepsHalf(t *testing.T) {
+	soft := []Event{
+		{Kind: KindProbe}, {Kind: KindShed}, {Kind: KindServerError},
+		{Kind: KindLoadReport, Utilization: 1}, {Kind: KindPlatform, Listing: ListedAbsent},
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(rt, "servers")
+		tr := newZone(n)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond
+			e := rapid.SampledFrom(soft).Draw(rt, "event")
+			e.Server = fmt.Sprint("s", rapid.IntRange(0, n-1).Draw(rt, "server"))
+			observe(tr, now, e, rapid.IntRange(1, 6).Draw(rt, "times"))
+			tr.Tick(at(now))
+			out := 0
+			for i := range n {
+				if w, _ := tr.Eligible(fmt.Sprint("s", i), at(now)); w == 0 {
+					out++
+				}
+			}
+			if out > n/2 {
+				rt.Fatalf("%d of %d servers out after %+v", out, n, e)
+			}
+		}
+	})
+}
+
+// Guards against a server that returns from a failure at full weight, and against a
+// health endpoint that ends a suspicion before its time.
+func TestRecoveryIsGradual(t *testing.T) {
+	tr := newZone(4)
+	observe(tr, 0, Event{Kind: KindReset}, 3)
+	last, warmed := 0.0, false
+	for now := 100 * time.Millisecond; now < 20*time.Second; now += 100 * time.Millisecond {
+		observe(tr, now, Event{Kind: KindProbe, Healthy: true}, 1)
+		tr.Tick(at(now))
+		w, _ := tr.Eligible("s0", at(now))
+		must.True(t, now >= minCooldown || w == 0)
+		must.GreaterEq(t, last, w)
+		must.Less(t, 0.06, w-last)
+		warmed = warmed || w > 0 && w < 1
+		last = w
+	}
+	must.True(t, warmed)
+	must.Eq(t, 1.0, last)
+}
+
+// Guards against two instances that confirm a drain to each other forever.
+func TestPeerDrainIsNotRepeated(t *testing.T) {
+	tr := newZone(4)
+	observe(tr, 0, Event{Kind: KindPeer, Peer: Draining}, 1)
+	must.Eq(t, State(0), tr.Report("s0"))
+	observe(tr, 0, Event{Server: "s1", Kind: KindPlatform, Listing: ListedLeaving}, 1)
+	must.Eq(t, Draining, tr.Report("s1"))
+}
+
+// Guards against a slow server that keeps its full share, and against cold caches
+// that take a server out.
+func TestLatencyAgainstOwnHistory(t *testing.T) {
+	tr := newZone(4)
+	now := time.Duration(0)
+	feed := func(latency time.Duration, n int) {
+		for range n {
+			now += 50 * time.Millisecond
+			observe(tr, now, Event{Kind: KindSuccess, Latency: latency}, 1)
+		}
+	}
+	feed(10*time.Millisecond, 200)
+	w, _ := tr.Eligible("s0", at(now))
+	must.Eq(t, 1.0, w)
+	feed(60*time.Millisecond, 200)
+	w, r := tr.Eligible("s0", at(now))
+	must.Between(t, 0.1, w, 0.9)
+	must.Eq(t, CodeSlow, r.Code)
+	feed(time.Second, 60)
+	state, reason := tr.State("s0")
+	must.Eq(t, Suspect, state)
+	must.Eq(t, CodeSlow, reason.Code)
+}
+
+// Guards against data races between the forwarding path and the adapter, and against
+// an untyped error for an unknown server.
+func TestConcurrentUse(t *testing.T) {
+	tr := newZone(8)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for k := range 200 {
+				observe(tr, time.Duration(k)*time.Millisecond, Event{Server: fmt.Sprint("s", i), Kind: KindRefused}, 1)
+				tr.Eligible(fmt.Sprint("s", k%8), at(0))
+				tr.Tick(at(time.Duration(k) * time.Millisecond))
+			}
+		})
+	}
+	wg.Wait()
+	_, err := tr.Observe(Event{Server: "other"})
+	var unknown *UnknownServerError
+	must.True(t, errors.As(err, &unknown))
+}
--- a/serverstate/weight.go
+++ b/serverstate/weight.go
@@ -135,7 +135,7 @@
 // not count as a trend; at low rates the elapsed time counts.
 func gain(dt float64, t time.Duration, samples int) float64 {
 	byTime := 1 - math.Exp(-dt/float64(t))
-	return math.Min(1/float64(samples), math.Max(byTime, 0.001))
+	return math.Min(1/float64(samples), byTime)
 }
 
 // outlier returns the ratio of recent latency to history, 1 when they are close
