--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,214 @@
+package retry
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func denial(err error) Denial {
+	var denied *DeniedError
+	if errors.As(err, &denied) {
+		return denied.Denial
+	}
+	return 0
+}
+
+// Guards against a request that runs twice, and against retries that cannot help.
+func TestCheck(t *testing.T) {
+	safe := Attempt{Number: 1, Idempotent: true, Replayable: true, Failure: FailureReset}
+	cases := []struct {
+		name   string
+		change func(a *Attempt)
+		want   Denial
+	}{
+		{"idempotent", func(*Attempt) {}, 0},
+		{"not idempotent", func(a *Attempt) { a.Idempotent = false }, DenialMayHaveRun},
+		{"not idempotent, shed", func(a *Attempt) { a.Idempotent = false; a.Failure = FailureShed }, DenialMayHaveRun},
+		{"not idempotent, not sent", func(a *Attempt) { a.Idempotent = false; a.NotSent = true }, 0},
+		{"response started", func(a *Attempt) { a.ResponseStarted = true }, DenialResponseStarted},
+		{"body gone", func(a *Attempt) { a.Replayable = false }, DenialBodyGone},
+		{"body not sent yet", func(a *Attempt) { a.Replayable = false; a.NotSent = true }, 0},
+		{"caller gone", func(a *Attempt) { a.Failure = FailureCallerGone; a.NotSent = true }, DenialFailure},
+		{"server error", func(a *Attempt) { a.Failure = FailureServerError }, DenialFailure},
+		{"timeout", func(a *Attempt) { a.Failure = FailureTimeout }, DenialFailure},
+		{"gateway error", func(a *Attempt) { a.Failure = FailureGateway }, 0},
+		{"server died", func(a *Attempt) { a.Crashed = true }, DenialCrash},
+		{"last attempt", func(a *Attempt) { a.Number = MaxAttempts }, DenialAttempts},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := safe
+			c.change(&a)
+			must.Eq(t, c.want, denial(a.Check()))
+		})
+	}
+}
+
+// Guards against retries that multiply the load: in each window of ten seconds they
+// stay within 10% of the requests or one per second, whichever is more. Guards also
+// against a budget that refuses what is within it.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := NewBudgets(0, 0)
+		var requests, retries []time.Duration
+		inWindow := func(times []time.Duration, now time.Duration) int {
+			n := 0
+			for _, at := range times {
+				if at.Truncate(time.Second) > now.Truncate(time.Second)-windowSlots*time.Second {
+					n++
+				}
+			}
+			return n
+		}
+		now := time.Duration(0)
+		b.Request("c", "s", epoch)
+		requests = append(requests, 0)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond
+			for range rapid.IntRange(0, 80).Draw(rt, "requests") {
+				b.Request("c", "s", epoch.Add(now))
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 30).Draw(rt, "failures") {
+				allowed := max(windowSlots, float64(inWindow(requests, now))/10)
+				within := float64(inWindow(retries, now)+1) <= allowed
+				if took := b.Take("c", "s", epoch.Add(now)); took != within {
+					rt.Fatalf("took %v, within budget %v at %s", took, within, now)
+				} else if took {
+					retries = append(retries, now)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a customer that uses up another's budget, and against budgets that
+// are never forgotten.
+func TestBudgetsAreSeparate(t *testing.T) {
+	b := NewBudgets(0, 0)
+	for b.Take("c", "s", epoch) {
+	}
+	must.True(t, b.Take("other", "s", epoch))
+	must.True(t, b.Take("c", "other", epoch))
+	b.Sweep(epoch.Add(idleAfter))
+	must.MapEmpty(t, b.budgets)
+}
+
+// Guards against a retry that starts although its response would come too late, and
+// against an immediate retry of a request that may have been sent.
+func TestNext(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	hop := Hop{RoundTrip: 20 * time.Millisecond, Work: 10 * time.Millisecond}
+	a := Attempt{Number: 1, Idempotent: true, Replayable: true, Failure: FailureReset}
+	wait, err := NewBudgets(0, 0).Next(a, hop, epoch, rng)
+	must.NoError(t, err)
+	must.Between(t, baseBackoff/2, wait, baseBackoff)
+
+	a.Deadline = After(epoch, 40*time.Millisecond, 0)
+	_, err = NewBudgets(0, 0).Next(a, hop, epoch, rng)
+	must.Eq(t, DenialDeadline, denial(err))
+
+	a.NotSent = true
+	wait, err = NewBudgets(0, 0).Next(a, hop, epoch, rng)
+	must.NoError(t, err)
+	must.Eq(t, 0, wait)
+
+	b := NewBudgets(0, 0)
+	for b.Take("", "", epoch) {
+	}
+	_, err = b.Next(a, hop, epoch, rng)
+	must.Eq(t, DenialBudget, denial(err))
+}
+
+// Guards against retries in step, and against waits outside their bounds.
+func TestBackoff(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	seen := map[time.Duration]bool{}
+	for attempt := range 70 {
+		wait := Backoff(attempt, rng)
+		must.Between(t, baseBackoff/2, wait, maxBackoff)
+		seen[wait] = true
+	}
+	must.Greater(t, 60, len(seen))
+}
+
+// Guards against a remaining time that grows along the path, and against work that
+// starts although no time is left for the way back.
+func TestDeadlineShrinks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ms := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 300).Draw(rt, name)) * time.Millisecond
+		}
+		hop := Hop{RoundTrip: ms("round trip"), Work: ms("work")}
+		remaining, passed := ms("remaining")+time.Millisecond, ms("passed")
+		d := After(epoch, remaining, 0)
+		sent, err := d.Forward(epoch.Add(passed), hop)
+		var late *DeadlineError
+		if errors.As(err, &late) {
+			must.Eq(rt, remaining-passed, late.Remaining)
+			must.Less(rt, late.Needed, late.Remaining)
+			return
+		}
+		must.NoError(rt, err)
+		if sent <= 0 || sent+passed+hop.RoundTrip > remaining || sent < hop.Work {
+			rt.Fatalf("sent %s of %s after %s, hop %+v", sent, remaining, passed, hop)
+		}
+	})
+}
+
+// Guards against a caller that extends the deadline of the route, and against a
+// deadline where there is none.
+func TestAfter(t *testing.T) {
+	left, ok := After(epoch, time.Hour, time.Second).Remaining(epoch)
+	must.True(t, ok)
+	must.Eq(t, time.Second, left)
+	left, _ = After(epoch, 0, time.Second).Remaining(epoch)
+	must.Eq(t, time.Second, left)
+	_, ok = After(epoch, 0, 0).Remaining(epoch)
+	must.False(t, ok)
+	sent, err := After(epoch, 0, 0).Forward(epoch, Hop{})
+	must.NoError(t, err)
+	must.Eq(t, 0, sent)
+}
+
+// Guards against second copies of requests that may not run twice, that are not slow,
+// or that the budget does not allow.
+func TestHedge(t *testing.T) {
+	slow := Hedge{
+		Idempotent: true, Replayable: true, Copies: 1,
+		Typical: 100 * time.Millisecond, Waited: 100 * time.Millisecond,
+	}
+	cases := []struct {
+		name   string
+		change func(h *Hedge)
+		want   Denial
+	}{
+		{"slow", func(*Hedge) {}, 0},
+		{"not idempotent", func(h *Hedge) { h.Idempotent = false }, DenialMayHaveRun},
+		{"crashed a server", func(h *Hedge) { h.Crashed = true }, DenialCrash},
+		{"body gone", func(h *Hedge) { h.Replayable = false }, DenialBodyGone},
+		{"two copies", func(h *Hedge) { h.Copies = 2 }, DenialAttempts},
+		{"not slow", func(h *Hedge) { h.Waited-- }, DenialNotSlow},
+		{"no history", func(h *Hedge) { h.Typical = 0 }, DenialNotSlow},
+		{"no time", func(h *Hedge) { h.Deadline = After(epoch, 50*time.Millisecond, 0) }, DenialDeadline},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := slow
+			c.change(&h)
+			must.Eq(t, c.want, denial(NewBudgets(0, 0).HedgeNow(h, Hop{}, epoch)))
+		})
+	}
+	b := NewBudgets(0, 0)
+	for range windowSlots {
+		must.NoError(t, b.HedgeNow(slow, Hop{}, epoch))
+	}
+	must.Eq(t, DenialBudget, denial(b.HedgeNow(slow, Hop{}, epoch)))
+}
