bench: open-loop load generator with reports

Cause: the measured objectives (latency, headroom, drain time, worst-served customer, wrongly refused requests) need one measurement that a slow fleet cannot distort.

Change: Run sends a declared mix at constant rates per customer and for look-ups, counts latency from the time a request was due into HDR histograms, samples the load endpoints for headroom, drains a backend server through the stand-in's control API and watches the work that still reaches it, checks that answers belong to their requests, and compares direct with forwarded requests in the same run. Duration, requests and requests in progress are bounded; what was due but not sent is reported as dropped. Results are written as a table and as JSON, and Compare compares two of them.

Wrongly refused: an exact token bucket per customer is charged for requests that may have run and for wrongly refused ones. Ruled out after a trial: charging only requests that ran counts every refusal during a shortage as wrong (246 instead of about 50 for a limiter that admits half of a rate for 10 s), and charging all requests counts none (1).

The runs of the tests use virtual time (testing/synctest) with a stub transport; one test uses the stand-in on sockets.

--- /dev/null
+++ b/bench/pure_test.go
@@ -0,0 +1,213 @@
+package bench
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/standin/backend"
+)
+
+// TestMain fixes the seed of property tests, so that a run in CI is repeatable.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const second = config.Duration(time.Second)
+
+func testPlan() Plan {
+	client := netip.MustParseAddr("127.0.0.1")
+	return Plan{
+		Name:     "test",
+		Entry:    []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
+		Duration: 10 * second,
+		Customers: []Customer{
+			{Name: "within", Key: "jr_a_s", RatePerSecond: 20, Burst: 5, Load: 0.5, Client: client},
+			{Name: "above", Key: "jr_b_s", RatePerSecond: 10, Burst: 5, Load: 3, Client: client},
+		},
+		Mix: []Kind{
+			{Name: "check", Route: "stock", Method: "GET", Weight: 3},
+			{Name: "order", Route: "orders", Method: "POST", Weight: 1, BodyBytes: 64},
+		},
+		Lookups: Lookups{PerSecond: 50},
+	}
+}
+
+// Guards against a generator that does not offer the planned load: closed-loop
+// rates, wrong multiples, unordered or unrepeatable arrivals, or a mix that never
+// sends a kind.
+func TestScheduleOffersThePlannedLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := testPlan().withDefaults()
+		p.Seed = rapid.Uint64().Draw(t, "seed")
+		p.Duration = config.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * second
+		p.Customers[1].Surge = &Surge{Every: 2 * second, For: second / 2, Load: float64(rapid.IntRange(0, 5).Draw(t, "surge"))}
+		p.Customers[1].Load = float64(rapid.IntRange(0, 2).Draw(t, "load"))
+		counts := make(map[int]float64)
+		kinds := make(map[int]int)
+		again := newSchedule(p)
+		s := newSchedule(p)
+		last := time.Duration(0)
+		for a, ok := s.nextArrival(); ok; a, ok = s.nextArrival() {
+			if b, _ := again.nextArrival(); a != b {
+				t.Fatalf("arrival %v, but %v in another schedule of the same seed", a, b)
+			}
+			if a.at < last || a.at >= p.Duration.Std() {
+				t.Fatalf("arrival at %v after one at %v", a.at, last)
+			}
+			last = a.at
+			counts[a.customer]++
+			kinds[a.kind]++
+		}
+		length := p.Duration.Std().Seconds()
+		surging := float64(int(length)/2)/2 + min(float64(int(length)%2), 0.5)
+		above := 10 * (p.Customers[1].Surge.Load*surging + p.Customers[1].Load*(length-surging))
+		for customer, want := range map[int]float64{0: 10 * length, 1: above, lookupStream: 50 * length} {
+			// One arrival for the phase, and one for each change of the rate.
+			if slack := 1 + length; counts[customer] < want-slack || counts[customer] > want+slack {
+				t.Fatalf("customer %d: %v arrivals, want %v", customer, counts[customer], want)
+			}
+		}
+		if length >= 5 && (kinds[0] == 0 || kinds[1] == 0) {
+			t.Fatalf("kinds %v", kinds)
+		}
+	})
+}
+
+// Guards against a bucket that is not exact: a request must be entitled if, and
+// only if, no window then holds more than burst and rate allow.
+func TestBucketIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.IntRange(1, 8).Draw(t, "rate"))
+		burst := float64(rapid.IntRange(1, 4).Draw(t, "burst"))
+		b := newBucket(rate, burst)
+		var ran []time.Duration
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(t, "requests") {
+			// Multiples of 1/8 s are exact in floating point.
+			at += time.Duration(rapid.IntRange(0, 8).Draw(t, "pause")) * time.Second / 8
+			want := true
+			for i, from := range ran {
+				want = want && float64(len(ran)-i+1) <= burst+rate*(at-from).Seconds()
+			}
+			if got := b.take(at); got != want {
+				t.Fatalf("request at %v: entitled %v, want %v", at, got, want)
+			}
+			if want && rapid.Bool().Draw(t, "runs") {
+				ran = append(ran, at)
+				continue
+			}
+			b.giveBack(at)
+		}
+	})
+}
+
+// Guards against a worst-served customer that is only the one that exceeds its
+// rate most, and against a tie that hides the slower one.
+func TestWorstServed(t *testing.T) {
+	tally := func(name string, sent, ok, refused, wrongly int, p99 config.Duration) CustomerTally {
+		c := CustomerTally{Tally: Tally{Name: name, Sent: sent, OK: ok, RateRefused: refused, WronglyRefused: wrongly}}
+		c.Latency.P99 = p99
+		c.Served = c.ServedShare()
+		return c
+	}
+	above := tally("above", 100, 20, 80, 0, second)
+	fast := tally("fast", 100, 100, 0, 0, second)
+	slow := tally("slow", 100, 100, 0, 0, 2*second)
+	wronged := tally("wronged", 100, 99, 1, 1, second)
+	must.EqOp(t, "slow", worstServed([]CustomerTally{above, fast, slow}))
+	must.EqOp(t, "wronged", worstServed([]CustomerTally{above, fast, slow, wronged}))
+	must.EqOp(t, "", worstServed([]CustomerTally{{}}))
+}
+
+// Guards against headroom that counts servers without an answer as free, or hides
+// a full group behind the others.
+func TestHeadroom(t *testing.T) {
+	h := newHeadroomSampler([]config.BackendServer{{Service: "s", Zone: "a"}, {Service: "s", Zone: "b"}})
+	h.add([]*backend.Load{{Slots: 4, InUse: 0}, {Slots: 4, InUse: 3}})
+	h.add([]*backend.Load{{Slots: 4, InUse: 1}, nil})
+	out := h.result()
+	must.Eq(t, &Headroom{Samples: 2, Missed: 1, Mean: 0.6875, Min: 0.625, Tightest: "s in b", TightestFree: 0}, out)
+	must.Nil(t, newHeadroomSampler(nil).result())
+}
+
+// Guards against drain times that end at the first quiet moment.
+func TestDrainWatch(t *testing.T) {
+	start := time.Unix(0, 0)
+	w := drainWatch{started: start, requests: 10, result: &DrainResult{}}
+	for _, step := range []struct {
+		ms       int
+		requests uint64
+		inUse    int
+	}{{20, 10, 0}, {40, 12, 1}, {60, 12, 0}, {80, 13, 0}, {100, 13, 0}} {
+		w.see(&backend.Load{Requests: step.requests, InUse: step.inUse}, start.Add(time.Duration(step.ms)*time.Millisecond))
+	}
+	must.Eq(t, &DrainResult{New: 3, LastNew: 80 * second / 1000, Idle: 80 * second / 1000, Drained: true}, w.result)
+}
+
+// Guards against comparisons that call a regression better, and against results
+// that lose numbers between files.
+func TestCompareResults(t *testing.T) {
+	before := &Result{Name: "old", Total: Tally{Name: "all requests", Sent: 10, OK: 10}, WorstServed: "c"}
+	before.Total.Latency.P99 = second
+	before.Customers = []CustomerTally{{Tally: Tally{Name: "c"}, Served: 1}}
+	before.Overhead = &OverheadRatio{P50: 1.5}
+	var file bytes.Buffer
+	must.NoError(t, before.Write(&file))
+	after, err := ReadResult(&file)
+	must.NoError(t, err)
+	must.Eq(t, before, after)
+	after.Total.Latency.P99 = 2 * second
+	after.Overhead.P50 = 1.2
+	after.Customers[0].Served = 0.5
+	effects := make(map[string]Effect)
+	comparison := Compare(before, after)
+	for _, row := range comparison.Rows {
+		effects[row.Metric] = row.Effect
+	}
+	must.EqOp(t, EffectWorse, effects["all requests, p99"])
+	must.EqOp(t, EffectSame, effects["all requests, p50"])
+	must.EqOp(t, EffectBetter, effects["overhead, p50 ratio"])
+	must.EqOp(t, EffectWorse, effects["worst-served customer, served"])
+	var out strings.Builder
+	must.NoError(t, comparison.WriteTable(&out))
+	must.StrContains(t, out.String(), "+100.0%")
+	_, err = ReadResult(strings.NewReader("{"))
+	must.Error(t, err)
+}
+
+// Guards against plans that fail only in the middle of a run, and against a
+// report of the first mistake only.
+func TestPlanIsChecked(t *testing.T) {
+	must.NoError(t, testPlan().Validate())
+	p := testPlan()
+	p.Entry = nil
+	p.Duration = config.Duration(MaxDuration) + 1
+	p.Customers[1].Name = "within"
+	p.Customers[0].Client = netip.Addr{}
+	p.Mix[0].Weight = 0
+	p.Drain = &Drain{Watch: second}
+	p.Overhead = &Overhead{Samples: 1, Customer: "nobody"}
+	p.Events = []Event{{At: time.Duration(p.Duration)}}
+	var failed *PlanError
+	must.True(t, errors.As(p.Validate(), &failed))
+	must.SliceLen(t, 8, failed.Problems)
+	_, err := Run(t.Context(), p)
+	must.True(t, errors.As(err, &failed))
+}
--- /dev/null
+++ b/bench/run_test.go
@@ -0,0 +1,276 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/caller"
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/standin/backend"
+	"github.com/jacinthrack/jacinthrack/lookup"
+	"github.com/jacinthrack/jacinthrack/problem"
+)
+
+// entryStub answers look-ups and requests without a network, so that runs take
+// virtual time only.
+type entryStub struct {
+	mu       sync.Mutex
+	start    time.Time
+	requests int
+	// delay is the time that a request takes which arrives at a time of the run.
+	delay func(at time.Duration) time.Duration
+	// refuse decides on the nth request of a customer's key.
+	refuse func(key string, at time.Duration, nth int) bool
+	// answer returns the nonce to send for that of a request.
+	answer func(nonce string) string
+}
+
+func newEntryStub() *entryStub {
+	return &entryStub{
+		start:  time.Now(),
+		delay:  func(time.Duration) time.Duration { return 10 * time.Millisecond },
+		refuse: func(string, time.Duration, int) bool { return false },
+		answer: func(nonce string) string { return nonce },
+	}
+}
+
+func (s *entryStub) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	if r.URL.Path == lookup.Path {
+		w.Header().Set("Cache-Control", "max-age=5")
+		_ = json.NewEncoder(w).Encode(lookup.Answer{Instances: []lookup.Instance{{Name: "e", Address: "127.0.0.1:1"}}})
+		return w.Result(), nil
+	}
+	at := time.Since(s.start)
+	s.mu.Lock()
+	s.requests++
+	refused := s.refuse(r.Header.Get(caller.HeaderKey), at, s.requests)
+	s.mu.Unlock()
+	if refused {
+		problem.New(problem.TypeRateExceeded, http.StatusTooManyRequests, problem.RanNo, "rate").WithRetryAfter(time.Second).Write(w)
+		return w.Result(), nil
+	}
+	if err := sleepUntil(r.Context(), time.Now().Add(s.delay(at))); err != nil {
+		return nil, err
+	}
+	_ = json.NewEncoder(w).Encode(backend.Answer{Nonce: s.answer(r.Header.Get(backend.HeaderNonce))})
+	return w.Result(), nil
+}
+
+func runPlan(t *testing.T, change func(*Plan, *entryStub)) *Result {
+	t.Helper()
+	stub := newEntryStub()
+	p := testPlan()
+	p.Transport = stub
+	p.CheckAnswers = true
+	change(&p, stub)
+	result, err := Run(t.Context(), p)
+	must.NoError(t, err)
+	return result
+}
+
+// limit makes the stub limit customers by exact buckets of the given rates.
+func limit(s *entryStub, within, above float64) {
+	limiter := map[string]*bucket{"jr_a_s": newBucket(within, 5), "jr_b_s": newBucket(above, 5)}
+	s.refuse = func(key string, at time.Duration, _ int) bool {
+		if limiter[key].take(at) {
+			return false
+		}
+		limiter[key].giveBack(at)
+		return true
+	}
+}
+
+// Guards against refusals that are judged wrongly: an exact limiter never refuses
+// wrongly, one that refuses a customer within its rate always does, and one that
+// admits half of a rate wrongly refuses the other half, not everything.
+func TestWronglyRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(_ *Plan, s *entryStub) { limit(s, 20, 5) })
+		above := result.Customers[1]
+		must.Between(t, 240, above.RateRefused, 250)
+		must.Between(t, 45, above.WronglyRefused, 55)
+		must.EqOp(t, "above", result.WorstServed)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(_ *Plan, s *entryStub) { limit(s, 20, 10) })
+		within, above := result.Customers[0], result.Customers[1]
+		must.EqOp(t, 100, within.OK)
+		must.EqOp(t, 0, within.RateRefused)
+		must.Between(t, 180, above.RateRefused, 200)
+		must.EqOp(t, 0, result.Total.WronglyRefused)
+		must.EqOp(t, 1, above.Served)
+		must.LessEq(t, above.Allowed, float64(above.Admitted))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(p *Plan, s *entryStub) {
+			p.Customers[1].Load = 0
+			s.refuse = func(key string, _ time.Duration, nth int) bool { return nth%10 == 0 }
+		})
+		must.EqOp(t, 10, result.Customers[0].WronglyRefused)
+		must.EqOp(t, 10, result.Problems[string(problem.TypeRateExceeded)])
+		must.EqOp(t, "within", result.WorstServed)
+		must.EqOp(t, 0.9, result.Customers[0].Served)
+	})
+}
+
+// Guards against coordinated omission: while the fleet stalls, requests go on
+// being sent, and each one's latency is counted from the time it was due.
+func TestStallIsMeasured(t *testing.T) {
+	stall := func(p *Plan, s *entryStub) {
+		p.Customers = p.Customers[:1] // 10 requests/s
+		s.delay = func(at time.Duration) time.Duration {
+			if at < 2*time.Second {
+				return 2*time.Second - at
+			}
+			return time.Millisecond
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, stall)
+		must.EqOp(t, 100, result.Total.OK)
+		must.EqOp(t, 0, result.Generator.Dropped)
+		must.Between(t, 1800*time.Millisecond, result.Total.Latency.Max.Std(), 2000*time.Millisecond+time.Millisecond)
+		must.Between(t, 900*time.Millisecond, result.Total.Latency.P90.Std(), 1100*time.Millisecond)
+		must.LessEq(t, 2*time.Millisecond, result.Total.Latency.P50.Std())
+	})
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(p *Plan, s *entryStub) {
+			stall(p, s)
+			p.Lookups.PerSecond = 0
+			p.MaxOutstanding = 5
+		})
+		must.EqOp(t, 15, result.Generator.Dropped)
+		must.EqOp(t, 85, result.Total.OK)
+	})
+}
+
+// Guards against latency that leaves out the time by which the generator itself
+// was late.
+func TestLatencyCountsFromDueTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPlan().withDefaults()
+		p.Transport = newEntryStub()
+		r, err := newRun(p)
+		must.NoError(t, err)
+		r.start = time.Now()
+		time.Sleep(3 * time.Second)
+		r.send(t.Context(), arrival{customer: 0})
+		result := r.recorder.result(time.Since(r.start))
+		must.Between(t, 3*time.Second, result.Total.Latency.Max.Std(), 3020*time.Millisecond)
+		must.Between(t, 2990*time.Millisecond, result.Generator.Lag.Max.Std(), 3010*time.Millisecond)
+	})
+}
+
+// Guards against crossed answers that count as good, warm-up requests that are
+// counted, runs that ignore their bounds, and events that are lost.
+func TestRunDetails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(_ *Plan, s *entryStub) { s.answer = func(string) string { return "0" } })
+		must.Positive(t, result.Total.Mismatched)
+		must.LessEq(t, 1, result.Total.OK)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(p *Plan, _ *entryStub) {
+			p.Customers = p.Customers[:1]
+			p.Warmup = 4 * second
+			p.Events = []Event{{Name: "stop", At: time.Second, Do: func(context.Context) error { return io.EOF }}}
+		})
+		must.EqOp(t, 60, result.Total.Sent)
+		must.EqOp(t, 300, result.Lookups.OK)
+		must.EqOp(t, 100, result.Customers[0].Admitted)
+		must.Eq(t, []EventResult{{Name: "stop", Error: "EOF"}}, result.Events)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(p *Plan, _ *entryStub) { p.MaxRequests = 7 })
+		must.EqOp(t, 7, result.Total.Sent+result.Lookups.Sent)
+		must.True(t, result.Generator.Truncated)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		result := runPlan(t, func(p *Plan, s *entryStub) {
+			p.Timeout = second
+			s.delay = func(time.Duration) time.Duration { return time.Minute }
+		})
+		must.EqOp(t, result.Total.Sent, result.Total.Failed)
+		must.EqOp(t, result.Total.Sent, result.Problems[string(caller.ReasonDeadline)])
+	})
+}
+
+// forwarder is an entry instance on a socket with a single backend server behind
+// it. It knows nothing of steering; it removes the key as an entry instance does.
+func forwarder(t *testing.T, server *backend.Server) netip.AddrPort {
+	mux := http.NewServeMux()
+	entry := httptest.NewServer(mux)
+	t.Cleanup(entry.Close)
+	address := entry.Listener.Addr().String()
+	mux.HandleFunc(lookup.Path, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(lookup.Answer{Instances: []lookup.Instance{{Name: "e", Address: address}}})
+	})
+	mux.HandleFunc("/r/", func(w http.ResponseWriter, r *http.Request) {
+		out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+server.Address()+r.URL.Path, r.Body)
+		must.NoError(t, err)
+		out.Header = r.Header.Clone()
+		out.Header.Del(caller.HeaderKey)
+		resp, err := http.DefaultTransport.RoundTrip(out)
+		if err != nil {
+			problem.New(problem.TypeNoServer, http.StatusServiceUnavailable, problem.RanNo, "no server").Write(w)
+			return
+		}
+		defer resp.Body.Close()
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	})
+	return netip.MustParseAddrPort(address)
+}
+
+// Guards against parts that work only against stubs: headroom, drain, overhead,
+// execution counts and the table, with the stand-in on real sockets.
+func TestRunAgainstStandIn(t *testing.T) {
+	fleet, err := backend.Start(backend.Options{Servers: []config.BackendServer{{Name: "b", Service: "s", Zone: "z", Address: "127.0.0.1:0", Slots: 64, Connections: 64}}})
+	must.NoError(t, err)
+	defer fleet.Close()
+	server, err := fleet.Server("b")
+	must.NoError(t, err)
+	control := httptest.NewServer(fleet.Control())
+	defer control.Close()
+	p := testPlan()
+	p.Entry = []netip.AddrPort{forwarder(t, server)}
+	p.Duration = second / 2
+	p.Customers[0].Load = 5
+	p.Mix[1].UploadTime = second / 50
+	p.CheckAnswers = true
+	p.Backends = fleet.BackendServers()
+	p.SampleEvery = second / 20
+	p.Control = strings.TrimPrefix(control.URL, "http://")
+	p.Drain = &Drain{Server: "b", At: second / 4, Announce: true, Notice: second * 60, Watch: second / 4}
+	p.Overhead = &Overhead{Samples: 5, Route: "stock", Direct: server.Address(), DirectPath: "/x", Customer: "within"}
+	result, err := Run(t.Context(), p)
+	must.NoError(t, err)
+	must.Positive(t, result.Total.OK)
+	must.EqOp(t, result.Total.Sent, result.Total.OK, must.Sprint(result.Problems))
+	must.Positive(t, result.Lookups.OK)
+	must.Positive(t, result.Headroom.Samples)
+	must.EqOp(t, "", result.Drain.Error)
+	must.Positive(t, result.Drain.New)
+	must.EqOp(t, 5, result.Overhead.Samples)
+	must.EqOp(t, result.Kinds[1].OK, result.Executions.Keys)
+	must.EqOp(t, 0, result.Executions.KeyLeaks)
+	must.SliceEmpty(t, result.Executions.Repeated)
+	var out strings.Builder
+	must.NoError(t, result.WriteTable(&out))
+	t.Log("\n" + out.String())
+	for _, want := range []string{"worst served", "headroom", "drain", "overhead", "executions", "generator"} {
+		must.StrContains(t, out.String(), want)
+	}
+}
--- /dev/null
+++ b/bench/table.go
@@ -0,0 +1,133 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/config"
+)
+
+// WriteTable writes the result as text tables.
+func (r *Result) WriteTable(w io.Writer) error {
+	t := &tableWriter{tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
+	t.row("run", r.Name, fmt.Sprintf("measured %v, seed %d", r.Measured.Std(), r.Seed))
+	t.tallies(r)
+	t.customers(r)
+	t.problems(r)
+	t.headroom(r.Headroom)
+	t.drain(r.Drain)
+	t.overhead(r.Overhead)
+	t.executions(r)
+	t.generator(r)
+	if err := t.w.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+// tableWriter collects rows; the error of the destination appears at Flush.
+type tableWriter struct{ w *tabwriter.Writer }
+
+func (t *tableWriter) row(cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(t.w, "\t")
+		}
+		fmt.Fprint(t.w, cell)
+	}
+	fmt.Fprintln(t.w)
+}
+
+func (t *tableWriter) section(cells ...any) {
+	fmt.Fprintln(t.w)
+	t.row(cells...)
+}
+
+func (t *tableWriter) tallies(r *Result) {
+	t.section("requests", "sent", "ok", "rate refused", "wrongly", "refused", "failed", "bad status", "mismatched", "p50", "p90", "p99", "p99.9", "max")
+	for _, tally := range append([]Tally{r.Lookups, r.Total}, r.Kinds...) {
+		t.tally(tally)
+	}
+}
+
+func (t *tableWriter) tally(y Tally) {
+	l := y.Latency
+	t.row(y.Name, y.Sent, y.OK, y.RateRefused, y.WronglyRefused, y.Refused, y.Failed, y.BadStatus, y.Mismatched,
+		ms(l.P50), ms(l.P90), ms(l.P99), ms(l.P999), ms(l.Max))
+}
+
+func ms(d config.Duration) string {
+	return fmt.Sprintf("%.2f ms", float64(d.Std())/float64(time.Millisecond))
+}
+
+func percent(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) }
+
+func (t *tableWriter) customers(r *Result) {
+	if len(r.Customers) == 0 {
+		return
+	}
+	t.section("customers", "sent", "ok", "served", "rate refused", "wrongly", "admitted", "allowed", "p50", "p99", "")
+	for _, c := range r.Customers {
+		note := ""
+		if c.Name == r.WorstServed {
+			note = "worst served"
+		}
+		t.row(c.Name, c.Sent, c.OK, percent(c.Served), c.RateRefused, c.WronglyRefused, c.Admitted,
+			fmt.Sprintf("%.0f", c.Allowed), ms(c.Latency.P50), ms(c.Latency.P99), note)
+	}
+}
+
+func (t *tableWriter) problems(r *Result) {
+	if len(r.Problems) == 0 {
+		return
+	}
+	t.section("problems", "count")
+	for _, name := range slices.Sorted(maps.Keys(r.Problems)) {
+		t.row(name, r.Problems[name])
+	}
+}
+
+func (t *tableWriter) headroom(h *Headroom) {
+	if h == nil {
+		return
+	}
+	t.section("headroom", "mean free", "least free", "tightest", "free", "samples", "missed")
+	t.row("slots", percent(h.Mean), percent(h.Min), h.Tightest, percent(h.TightestFree), h.Samples, h.Missed)
+}
+
+func (t *tableWriter) drain(d *DrainResult) {
+	if d == nil {
+		return
+	}
+	t.section("drain", "last new work", "new requests", "idle after", "drained", "error")
+	t.row(d.Server, ms(d.LastNew), d.New, ms(d.Idle), d.Drained, d.Error)
+}
+
+func (t *tableWriter) overhead(o *OverheadRatio) {
+	if o == nil {
+		return
+	}
+	t.section("overhead", "direct", "forwarded", "ratio", "pairs", "failed")
+	t.row("p50", ms(o.Direct.P50), ms(o.Forwarded.P50), fmt.Sprintf("%.2f", o.P50), o.Samples, o.Failed)
+	t.row("p99", ms(o.Direct.P99), ms(o.Forwarded.P99), fmt.Sprintf("%.2f", o.P99), "", "")
+}
+
+func (t *tableWriter) executions(r *Result) {
+	if e := r.Executions; e != nil {
+		t.section("executions", "keys", "run more than once", "not recorded", "customer keys seen")
+		t.row("backend servers", e.Keys, len(e.Repeated), e.Dropped, e.KeyLeaks)
+	}
+	for _, e := range r.Events {
+		t.row("event", e.Name, e.Error)
+	}
+}
+
+func (t *tableWriter) generator(r *Result) {
+	g := r.Generator
+	t.section("generator", "lag p50", "lag p99", "lag max", "dropped", "ended early")
+	t.row("", ms(g.Lag.P50), ms(g.Lag.P99), ms(g.Lag.Max), g.Dropped, g.Truncated)
+}
