backend stand-in: connection limit, connect and probe times, loopback control API

Cause: the workloads state connections, connect time and probe time for backend servers, and the control API could listen on any address.

Change: servers close connections beyond their limit, delay the first read of a connection and health answers; the control API listens on loopback only. caller: the transport may resend an in-memory body on a new connection if an idle one was closed before use. bench: the table marks customers that got more than their rate and burst allow.

--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -270,7 +270,7 @@
 	var out strings.Builder
 	must.NoError(t, result.WriteTable(&out))
 	t.Log("\n" + out.String())
-	for _, want := range []string{"worst served", "headroom", "drain", "overhead", "executions", "generator"} {
+	for _, want := range []string{"worst served", "exceeds its rate and burst", "headroom", "drain", "overhead", "executions", "generator"} {
 		must.StrContains(t, out.String(), want)
 	}
 }
--- a/bench/table.go
+++ b/bench/table.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -72,13 +73,20 @@
 	}
 	t.section("customers", "sent", "ok", "served", "rate refused", "wrongly", "admitted", "allowed", "p50", "p99", "")
 	for _, c := range r.Customers {
-		note := ""
-		if c.Name == r.WorstServed {
-			note = "worst served"
-		}
 		t.row(c.Name, c.Sent, c.OK, percent(c.Served), c.RateRefused, c.WronglyRefused, c.Admitted,
-			fmt.Sprintf("%.0f", c.Allowed), ms(c.Latency.P50), ms(c.Latency.P99), note)
+			fmt.Sprintf("%.0f", c.Allowed), ms(c.Latency.P50), ms(c.Latency.P99), r.customerNote(c))
+	}
+}
+
+func (r *Result) customerNote(c CustomerTally) string {
+	var notes []string
+	if c.Name == r.WorstServed {
+		notes = append(notes, "worst served")
+	}
+	if float64(c.Admitted) > c.Allowed {
+		notes = append(notes, "exceeds its rate and burst")
 	}
+	return strings.Join(notes, ", ")
 }
 
 func (t *tableWriter) problems(r *Result) {
--- a/caller/request.go
+++ b/caller/request.go
@@ -109,6 +109,14 @@
 		return nil, &BodyError{Err: err}
 	}
 	out.ContentLength = size
+	if r.Open == nil && size > 0 {
+		// Lets the transport send the request on a new connection if an idle
+		// one was closed before any byte of it was written.
+		out.GetBody = func() (io.ReadCloser, error) {
+			again, _, err := r.open()
+			return again, err
+		}
+	}
 	if r.Header != nil {
 		out.Header = r.Header.Clone()
 	}
--- a/cmd/backend-standin/main.go
+++ b/cmd/backend-standin/main.go
@@ -1,10 +1,10 @@
 // Command backend-standin plays the backend servers of a configuration document
 // on loopback addresses.
 //
-// Usage: backend-standin [settings.json]
+// Usage: backend-standin settings.json
 //
 // Settings are those of the type settings. The control API is described at
-// backend.Fleet.Control.
+// backend.Fleet.Control. It listens on loopback only.
 package main
 
 import (
@@ -12,7 +12,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -33,6 +32,8 @@
 	Jitter         float64         `json:"jitter"`
 	ColdStart      config.Duration `json:"cold_start"`
 	ColdFactor     float64         `json:"cold_factor"`
+	ConnectTime    config.Duration `json:"connect_time"`
+	ProbeTime      config.Duration `json:"probe_time"`
 	LoadLag        config.Duration `json:"load_lag"`
 	CrashDowntime  config.Duration `json:"crash_downtime"`
 	Seed           uint64          `json:"seed"`
@@ -94,6 +95,8 @@
 		Jitter:        s.Jitter,
 		ColdStart:     s.ColdStart.Std(),
 		ColdFactor:    s.ColdFactor,
+		ConnectTime:   s.ConnectTime.Std(),
+		ProbeTime:     s.ProbeTime.Std(),
 		LoadLag:       s.LoadLag.Std(),
 		CrashDowntime: s.CrashDowntime.Std(),
 		Seed:          s.Seed,
@@ -102,7 +105,7 @@
 }
 
 func serveControl(ctx context.Context, address string, fleet *backend.Fleet, log *slog.Logger) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := backend.ListenLoopback(address)
 	if err != nil {
 		return fmt.Errorf("listen for the control API: %w", err)
 	}
--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -189,6 +190,33 @@
 	must.True(t, errors.Is(err, syscall.ECONNREFUSED))
 }
 
+// Guards against a server that takes more connections than it has, and against
+// delays that are not applied or never end.
+func TestConnectionsAndDelays(t *testing.T) {
+	fleet, server := startOne(t, backend.Options{ConnectTime: time.Millisecond, ProbeTime: time.Millisecond})
+	var conns []net.Conn
+	for range 9 { // one more than the server takes
+		conn, err := net.Dial("tcp", server.Address())
+		must.NoError(t, err)
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	for server.CurrentLoad().RefusedConnections == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	must.EqOp(t, 8, server.CurrentLoad().Connections)
+	for _, conn := range conns {
+		conn.Close()
+	}
+	for server.CurrentLoad().Connections > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	resp, err := newClient(t).Get("http://" + fleet.BackendServers()[0].Address + backend.PathHealth)
+	must.NoError(t, err)
+	resp.Body.Close()
+	must.EqOp(t, http.StatusOK, resp.StatusCode)
+}
+
 // Guards against addresses outside loopback.
 func TestRefusesOtherAddresses(t *testing.T) {
 	_, err := backend.Start(backend.Options{Servers: []config.BackendServer{{Name: "a", Address: "192.0.2.1:80"}}})
--- a/internal/standin/backend/fleet.go
+++ b/internal/standin/backend/fleet.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/netip"
 	"time"
 
@@ -28,6 +29,10 @@
 	// times its value to its value after a start.
 	ColdStart  time.Duration
 	ColdFactor float64
+	// ConnectTime passes before the first request of a connection is read, and
+	// ProbeTime before the health endpoint answers.
+	ConnectTime time.Duration
+	ProbeTime   time.Duration
 	// LoadLag is the age that a load report reaches before it is renewed.
 	LoadLag time.Duration
 	// CrashDowntime is the time a server is down after a marked request crashed
@@ -67,6 +72,19 @@
 // Unwrap returns the cause.
 func (e *AddressError) Unwrap() error { return e.Err }
 
+// ListenLoopback listens on a loopback IP:port. It returns *NotLoopbackError for
+// other addresses.
+func ListenLoopback(address string) (net.Listener, error) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("parse address: %w", err)
+	}
+	if !addr.Addr().IsLoopback() {
+		return nil, &NotLoopbackError{Address: addr.Addr()}
+	}
+	return net.Listen("tcp", address)
+}
+
 // NotLoopbackError reports an address outside 127.0.0.0/8 and ::1.
 type NotLoopbackError struct{ Address netip.Addr }
 
--- a/internal/standin/backend/handler.go
+++ b/internal/standin/backend/handler.go
@@ -57,7 +57,7 @@
 	s.checkKey(r)
 	switch r.URL.Path {
 	case PathHealth:
-		s.serveHealth(w)
+		s.serveHealth(w, r)
 	case PathLoad:
 		s.serveLoad(w)
 	default:
--- a/internal/standin/backend/load.go
+++ b/internal/standin/backend/load.go
@@ -18,6 +18,8 @@
 	// Requests and Shed count since the process started.
 	Requests uint64 `json:"requests"`
 	Shed     uint64 `json:"shed"`
+	// RefusedConnections counts connections beyond MaxConnections.
+	RefusedConnections uint64 `json:"refused_connections"`
 	// PeakInUse is the most slots in use at once since the process started.
 	PeakInUse int       `json:"peak_in_use"`
 	State     State     `json:"state"`
@@ -53,17 +55,18 @@
 	now := time.Now()
 	o := s.fleet.options
 	return Load{
-		Server:         s.spec.Name,
-		Slots:          s.spec.Slots,
-		InUse:          int(s.inUse.Load()),
-		MaxConnections: s.spec.Connections,
-		Connections:    len(s.conns),
-		ColdFactor:     coldFactor(now.Sub(s.startedAt), o.ColdStart, o.ColdFactor),
-		Requests:       s.requests.Load(),
-		Shed:           s.shed.Load(),
-		PeakInUse:      int(s.peak.Load()),
-		State:          s.state,
-		At:             now,
+		Server:             s.spec.Name,
+		Slots:              s.spec.Slots,
+		InUse:              int(s.inUse.Load()),
+		MaxConnections:     s.spec.Connections,
+		Connections:        len(s.conns),
+		ColdFactor:         coldFactor(now.Sub(s.startedAt), o.ColdStart, o.ColdFactor),
+		Requests:           s.requests.Load(),
+		Shed:               s.shed.Load(),
+		RefusedConnections: s.refused,
+		PeakInUse:          int(s.peak.Load()),
+		State:              s.state,
+		At:                 now,
 	}
 }
 
@@ -76,7 +79,10 @@
 	Status string `json:"status"`
 }
 
-func (s *Server) serveHealth(w http.ResponseWriter) {
+func (s *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
+	if !sleep(r.Context(), s.fleet.options.ProbeTime) {
+		return
+	}
 	if s.healthy() {
 		writeJSON(w, http.StatusOK, healthAnswer{Status: "ok"})
 		return
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,9 +38,9 @@
 	behavior  Behavior
 	startedAt time.Time
 	listener  net.Listener
-	http      *http.Server
 	conns     map[net.Conn]http.ConnState
 	report    Load
+	refused   uint64 // connections
 	restart   *time.Timer
 	stopped   bool
 }
@@ -88,9 +87,6 @@
 }
 
 func (s *Server) start() error {
-	if err := checkLoopback(s.spec.Address); err != nil {
-		return &AddressError{Server: s.spec.Name, Address: s.spec.Address, Err: err}
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.startLocked()
@@ -102,7 +98,7 @@
 	if s.stopped || s.state != StateDown {
 		return nil
 	}
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := ListenLoopback(s.address)
 	if err != nil {
 		return &AddressError{Server: s.spec.Name, Address: s.address, Err: err}
 	}
@@ -112,8 +108,8 @@
 	s.state = StateServing
 	s.startedAt = time.Now()
 	s.report = Load{}
-	s.http = &http.Server{Handler: s, ConnState: s.connState}
-	go s.serve(s.http, listener)
+	// The stand-in ends connections itself, so it needs no handle of the server.
+	go s.serve(&http.Server{Handler: s, ConnState: s.connState}, slowListener{listener, s.fleet.options.ConnectTime})
 	return nil
 }
 
@@ -123,17 +119,6 @@
 	s.fleet.options.Log.Debug("listener closed", "server", s.spec.Name, "cause", err)
 }
 
-func checkLoopback(address string) error {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return err
-	}
-	if !addr.Addr().IsLoopback() {
-		return &NotLoopbackError{Address: addr.Addr()}
-	}
-	return nil
-}
-
 func (s *Server) connState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,12 +126,22 @@
 		delete(s.conns, conn)
 		return
 	}
+	if state == http.StateNew && s.fullLocked() {
+		s.refused++
+		conn.Close()
+		return
+	}
 	s.conns[conn] = state
 	if state == http.StateIdle && s.state == StateDraining {
 		conn.Close()
 	}
 }
 
+// fullLocked reports whether the server has all connections that it takes.
+func (s *Server) fullLocked() bool {
+	return s.spec.Connections > 0 && len(s.conns) >= s.spec.Connections
+}
+
 // Drain stops taking new connections. Requests in progress finish, and idle
 // connections are closed. With announce, the answers in progress carry
 // "Connection: close"; without, the server leaves silently.
@@ -201,6 +196,9 @@
 
 // reset closes a connection so that the peer sees a reset, not an orderly end.
 func reset(conn net.Conn) {
+	if slow, ok := conn.(*slowConn); ok {
+		conn = slow.Conn
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// An error means that the connection is already closed.
 		_ = tcp.SetLinger(0)
