--- a/command/command.go
+++ b/command/command.go
@@ -91,7 +91,8 @@
 	flags.Lookup("token").DefValue = ""
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return o.validate() }
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
-	root.AddCommand(configCommand(o), keyCommand(o), labelCommand(o), routeCommand(o), statusCommand(o))
+	root.AddCommand(configCommand(o), keyCommand(o), labelCommand(o), routeCommand(o), statusCommand(o),
+		demoCommand(o), benchCommand(o), replayCommand(o))
 	return root
 }
 
