Test the staleness rule, withdrawals and the key store

The own zone is left out of the summaries of an instance that is not complete, so that peers can tell without a further message field.

It does not count, and accepts no key, until it has recovered them (Freshness.Complete). - Confirmations at different times do not add up, because an instance can restart in between. Tally needs one moment at which all of them hold. - A digest counts only once the receiver has records of its key generation. - Records of a full load belong to the generation read after them.

--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -267,8 +267,9 @@
 }
 
 // Summaries returns what to tell peers: for the own zone the complete instances
-// heard within the window, the instance itself included if it is complete, and for
-// each other zone the largest number heard within the window.
+// heard within the window, the instance itself included, and for each other zone
+// the largest number heard within the window. An instance that is not complete
+// leaves out its own zone, which tells peers not to count it.
 func (f *Freshness) Summaries(now time.Time, window time.Duration) []ZoneSummary {
 	since := now.Add(-window)
 	var list []ZoneSummary
@@ -283,7 +284,7 @@
 			list = append(list, ZoneSummary{Zone: zone, Heard: best.count, Age: now.Sub(best.asOf)})
 		}
 	}
-	if own := f.ownZone(now, since); own.Heard > 0 {
+	if own := f.ownZone(now, since); f.complete && own.Heard > 0 {
 		list = append(list, own)
 	}
 	slices.SortFunc(list, func(a, b ZoneSummary) int { return cmp.Compare(a.Zone, b.Zone) })
@@ -291,10 +292,7 @@
 }
 
 func (f *Freshness) ownZone(now, since time.Time) ZoneSummary {
-	own := ZoneSummary{Zone: f.zone}
-	if f.complete && f.own() == 1 {
-		own.Heard = 1
-	}
+	own := ZoneSummary{Zone: f.zone, Heard: f.own()}
 	for name, h := range f.heard {
 		if f.listed[name] != f.zone || name == f.self || !h.Complete || h.AsOf.Before(since) {
 			continue
--- /dev/null
+++ b/keys/set_test.go
@@ -0,0 +1,122 @@
+package keys
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a secret in a log line or an error message.
+func TestSecretIsNotPrinted(t *testing.T) {
+	k := NewKey()
+	var out bytes.Buffer
+	slog.New(slog.NewJSONHandler(&out, nil)).Info("granted", "key", k)
+	fmt.Fprintf(&out, "%v %+v %#v %s %v", k, k, k, k, []any{k})
+	must.StrNotContains(t, out.String(), k.secret)
+	must.StrContains(t, out.String(), k.ID)
+	parsed, err := ParseKey(k.Reveal())
+	must.NoError(t, err)
+	must.True(t, parsed == k)
+	must.True(t, NewKey() != k)
+}
+
+// verifyCase is a presented key and the error type that it must cause.
+type verifyCase struct {
+	name      string
+	presented string
+	route     string
+	want      any
+}
+
+// Guards against keys that are accepted for another customer's record, route or
+// secret, and against messages that repeat what the caller presented.
+func TestVerify(t *testing.T) {
+	valid, withdrawn, pending, unknown := NewKey(), NewKey(), NewKey(), NewKey()
+	s := NewSet()
+	gone := NewRecord(withdrawn, "c1", []string{AnyRoute})
+	gone.Withdrawn = true
+	s.Import(State{Generation: 3, Records: []Record{
+		NewRecord(valid, "c1", []string{"check", "order"}), gone, NewRecord(pending, "c2", []string{AnyRoute}),
+	}})
+	s.ApplyWithdrawals([]Withdrawal{{KeyID: pending.ID}, {KeyID: "not an identifier"}})
+	must.Eq(t, []Withdrawal{{KeyID: pending.ID}}, s.PendingWithdrawals())
+
+	customer, err := s.Verify(valid.Reveal(), "order")
+	must.NoError(t, err)
+	must.Eq(t, "c1", customer)
+
+	mixed := Key{ID: valid.ID, secret: unknown.secret}
+	cases := []verifyCase{
+		{"other secret", mixed.Reveal(), "check", new(*WrongSecretError)},
+		{"other route", valid.Reveal(), "photos", new(*RouteError)},
+		{"withdrawn", withdrawn.Reveal(), "check", new(*WithdrawnError)},
+		{"pending withdrawal", pending.Reveal(), "check", new(*WithdrawnError)},
+		{"unknown", unknown.Reveal(), "check", new(*UnknownKeyError)},
+		{"empty", "", "check", new(*MalformedError)},
+		{"no prefix", strings.TrimPrefix(valid.Reveal(), "jr_"), "check", new(*MalformedError)},
+		{"no secret", "jr_" + valid.ID + "_", "check", new(*MalformedError)},
+		{"short secret", valid.Reveal()[:60], "check", new(*MalformedError)},
+		{"longer", valid.Reveal() + "a", "check", new(*MalformedError)},
+		{"upper case", strings.ToUpper(valid.Reveal()), "check", new(*MalformedError)},
+		{"secret as identifier", "jr_" + valid.secret + "_" + valid.ID, "check", new(*MalformedError)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			customer, err := s.Verify(c.presented, c.route)
+			must.True(t, errors.As(err, c.want), must.Sprintf("got %v", err))
+			must.Eq(t, "", customer)
+			must.StrNotContains(t, err.Error(), valid.secret)
+			must.StrNotContains(t, err.Error(), unknown.secret)
+		})
+	}
+}
+
+// Guards against a withdrawn key that becomes valid again through the data of a
+// stale peer or a lagging platform, in any order of arrival.
+func TestWithdrawnWins(t *testing.T) {
+	k := NewKey()
+	granted := NewRecord(k, "c1", []string{AnyRoute})
+	gone := granted
+	gone.Withdrawn = true
+	steps := map[string]func(*Set){
+		"records":              func(s *Set) { s.Import(State{Generation: 2, Records: []Record{gone}}) },
+		"older records":        func(s *Set) { s.Import(State{Generation: 1, Records: []Record{granted}}) },
+		"wrong newer records":  func(s *Set) { s.Import(State{Generation: 9, Records: []Record{granted}}) },
+		"older with withdrawn": func(s *Set) { s.Import(State{Generation: 1, Records: []Record{gone}}) },
+		"pending at a peer":    func(s *Set) { s.Import(State{Generation: 1, Pending: []Withdrawal{{KeyID: k.ID}}}) },
+		"announcement":         func(s *Set) { s.ApplyWithdrawals([]Withdrawal{{KeyID: k.ID}}) },
+		"log":                  func(s *Set) { s.Advance([]Change{{Generation: s.Generation() + 1, Record: granted}}) },
+	}
+	withdraws := []string{"records", "older with withdrawn", "pending at a peer", "announcement"}
+	for _, first := range withdraws {
+		for second := range steps {
+			for third := range steps {
+				s := NewSet()
+				s.Advance([]Change{{Generation: 1, Record: granted}})
+				for _, step := range []string{first, second, third} {
+					before := s.Generation()
+					steps[step](s)
+					must.GreaterEq(t, before, s.Generation())
+					_, err := s.Verify(k.Reveal(), "check")
+					var withdrawn *WithdrawnError
+					must.True(t, errors.As(err, &withdrawn), must.Sprint(first, second, third))
+				}
+			}
+		}
+	}
+}
+
+// Guards against a gap in the change log that is taken for up-to-date data.
+func TestAdvanceStopsAtGap(t *testing.T) {
+	s := NewSet()
+	record := NewRecord(NewKey(), "c", []string{AnyRoute})
+	must.True(t, s.Advance([]Change{{Generation: 1, Record: record}, {Generation: 2, Record: record}}))
+	must.True(t, s.Advance([]Change{{Generation: 2, Record: record}}))
+	must.False(t, s.Advance([]Change{{Generation: 3, Record: record}, {Generation: 5, Record: record}}))
+	must.Eq(t, 3, s.Generation())
+}
--- /dev/null
+++ b/keys/store_test.go
@@ -0,0 +1,271 @@
+package keys
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/platform"
+	"github.com/jacinthrack/jacinthrack/platform/memory"
+)
+
+// faults returns a fault function that gives the first transactions these faults.
+func faults(list ...memory.Fault) memory.FaultFunc {
+	return func(op memory.Op) memory.Fault {
+		if op.Kind != memory.OpTransact || len(list) == 0 {
+			return memory.Fault{}
+		}
+		first := list[0]
+		list = list[1:]
+		return first
+	}
+}
+
+// Guards against a change that is lost, written twice or reported wrongly when
+// replies are lost or the platform is down.
+func TestStoreFaults(t *testing.T) {
+	lost, down := memory.Fault{LoseReply: true}, memory.Fault{Down: true}
+	cases := []struct {
+		name       string
+		faults     []memory.Fault
+		want       any    // error type, nil for success
+		generation uint64 // afterwards
+	}{
+		{"healthy", nil, nil, 1},
+		{"lost reply", []memory.Fault{lost}, nil, 1},
+		{"lost replies", []memory.Fault{lost, lost, lost}, nil, 1},
+		{"down", []memory.Fault{down}, new(*platform.UnavailableError), 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := memory.New()
+				s := NewStore(table)
+				table.SetFault(faults(c.faults...))
+				_, grantErr := s.Grant(t.Context(), "c1", []string{AnyRoute})
+				withdrawn, err := NewWithdrawal(NewKey().ID)
+				must.NoError(t, err)
+				table.SetFault(nil)
+				generation, err := s.Generation(t.Context())
+				must.NoError(t, err)
+				must.Eq(t, c.generation, generation)
+
+				table.SetFault(faults(c.faults...))
+				_, withdrawErr := s.Withdraw(t.Context(), withdrawn)
+				table.SetFault(nil)
+				for _, err := range []error{grantErr, withdrawErr} {
+					if c.want == nil {
+						must.NoError(t, err)
+					} else {
+						must.True(t, errors.As(err, c.want), must.Sprintf("got %v", err))
+					}
+				}
+				changes, err := s.Changes(t.Context(), 0)
+				must.NoError(t, err)
+				must.Len(t, int(2*c.generation), changes)
+			})
+		})
+	}
+}
+
+// Guards against a lost reply that is reported as "not written" when the platform
+// goes down before it can be read back.
+func TestLostReplyThenDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New()
+		transacted := false
+		table.SetFault(func(op memory.Op) memory.Fault {
+			if transacted {
+				return memory.Fault{Down: true}
+			}
+			transacted = op.Kind == memory.OpTransact
+			return memory.Fault{LoseReply: transacted}
+		})
+		_, err := NewStore(table).Grant(t.Context(), "c1", []string{AnyRoute})
+		var unknown *ChangeUnknownError
+		must.True(t, errors.As(err, &unknown))
+		table.SetFault(nil)
+		// The operator withdraws the key of the unknown grant.
+		_, err = NewStore(table).Withdraw(t.Context(), Withdrawal{KeyID: unknown.KeyID, ChangeID: "w"})
+		must.NoError(t, err)
+		records, err := NewStore(table).List(t.Context())
+		must.NoError(t, err)
+		must.Len(t, 1, records)
+		must.True(t, records[0].Withdrawn)
+	})
+}
+
+// Guards against operators that overwrite each other's changes, and against a
+// repeated withdrawal that counts as a change.
+func TestConcurrentOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New()
+		table.SetFault(func(memory.Op) memory.Fault { return memory.Fault{Delay: time.Millisecond} })
+		granted := make([]Key, 6)
+		var wait sync.WaitGroup
+		for i := range granted {
+			wait.Go(func() {
+				var err error
+				granted[i], err = NewStore(table).Grant(t.Context(), "c1", []string{AnyRoute})
+				must.NoError(t, err)
+			})
+		}
+		wait.Wait()
+		for range 4 {
+			wait.Go(func() {
+				w, err := NewWithdrawal(granted[0].ID)
+				must.NoError(t, err)
+				generation, err := NewStore(table).Withdraw(t.Context(), w)
+				must.NoError(t, err)
+				must.Eq(t, 7, generation)
+			})
+		}
+		wait.Wait()
+		changes, err := NewStore(table).Changes(t.Context(), 0)
+		must.NoError(t, err)
+		must.Len(t, 7, changes)
+		state, err := NewStore(table).Load(t.Context())
+		must.NoError(t, err)
+		must.Eq(t, 7, state.Generation)
+		must.Len(t, 6, state.Records)
+		set := NewSet()
+		must.True(t, set.Advance(changes))
+		must.Eq(t, state, set.Export(), must.Sprint("log and records agree"))
+	})
+}
+
+// Guards against refused grants and withdrawals that still write.
+func TestRefusedChanges(t *testing.T) {
+	table := memory.New()
+	s := NewStore(table)
+	var invalid *InvalidGrantError
+	_, err := s.Grant(t.Context(), "", []string{AnyRoute})
+	must.True(t, errors.As(err, &invalid))
+	_, err = s.Grant(t.Context(), "c1", nil)
+	must.True(t, errors.As(err, &invalid))
+	var invalidID *InvalidIDError
+	whole := NewKey().Reveal()
+	_, err = s.Withdraw(t.Context(), Withdrawal{KeyID: whole})
+	must.True(t, errors.As(err, &invalidID))
+	must.StrNotContains(t, err.Error(), whole)
+	must.Zero(t, table.Counts().RowWrites)
+}
+
+func testFollower(table platform.Table, seed uint64) *Follower {
+	f := NewFollower(FollowerOptions{Table: table, Name: "i1", Zone: "a", Boot: 1, Live: func() int { return 7 },
+		Random: rand.New(rand.NewPCG(seed, 1)), Log: slog.New(slog.DiscardHandler)})
+	f.SetListed([]platform.Instance{{Name: "i1", Zone: "a"}})
+	return f
+}
+
+// Guards against polls that read more than what changed, and against data that is
+// missed when the log no longer reaches back.
+func TestPollReads(t *testing.T) {
+	ctx := context.Background()
+	table := memory.New()
+	s := NewStore(table)
+	f := testFollower(table, 1)
+	poll := func() int {
+		before := table.Counts().Reads
+		must.NoError(t, f.Poll(ctx))
+		return table.Counts().Reads - before
+	}
+	first, err := s.Grant(ctx, "c1", []string{AnyRoute})
+	must.NoError(t, err)
+	poll()
+	must.Eq(t, 1, poll(), must.Sprint("nothing changed"))
+	for range 3 {
+		_, err = s.Grant(ctx, "c1", []string{AnyRoute})
+		must.NoError(t, err)
+	}
+	must.Eq(t, 1+3, poll(), must.Sprint("three changes"))
+	for range LogKeep + 5 {
+		_, err = s.Grant(ctx, "c1", []string{AnyRoute})
+		must.NoError(t, err)
+	}
+	_, err = s.Withdraw(ctx, Withdrawal{KeyID: first.ID, ChangeID: "w"})
+	must.NoError(t, err)
+	poll()
+	must.True(t, f.Set().Withdrawn(first.ID))
+	must.Len(t, LogKeep+9, f.Export().Records)
+	changes, err := s.Changes(ctx, 0)
+	must.NoError(t, err)
+	must.Eq(t, uint64(11), changes[0].Generation, must.Sprint("old log rows are removed"))
+}
+
+// racingTable makes a change after the first scan, as another operator does.
+type racingTable struct {
+	platform.Table
+	change func()
+}
+
+func (r *racingTable) Scan(ctx context.Context, prefix string, limit int, after string) ([]platform.Row, error) {
+	if r.change != nil {
+		change := r.change
+		r.change = nil
+		change()
+	}
+	return r.Table.Scan(ctx, prefix, limit, after)
+}
+
+// Guards against records that contain a withdrawal of a later generation than they
+// are labelled with: peers of that generation would take themselves for up to date
+// without it.
+func TestChangeDuringLoad(t *testing.T) {
+	table := memory.New()
+	s := NewStore(table)
+	k, err := s.Grant(t.Context(), "c1", []string{AnyRoute})
+	must.NoError(t, err)
+	racing := &racingTable{Table: table, change: func() {
+		_, err := s.Withdraw(t.Context(), Withdrawal{KeyID: k.ID, ChangeID: "w"})
+		must.NoError(t, err)
+	}}
+	state, err := NewStore(racing).Load(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, 2, state.Generation)
+	must.True(t, state.Records[0].Withdrawn)
+	must.SliceEmpty(t, state.Pending)
+}
+
+// Guards against an older platform read that counts as fresh.
+func TestStaleReadIsNotFresh(t *testing.T) {
+	table := memory.New()
+	f := testFollower(table, 1)
+	f.Import(State{Generation: 4})
+	var stale *StaleReadError
+	must.True(t, errors.As(f.Poll(t.Context()), &stale))
+	must.Eq(t, 4, f.Set().Generation())
+	must.False(t, f.Fresh(time.Hour))
+}
+
+// Guards against a fleet that reads the key generation more often than about once
+// per second and zone, and against pending withdrawals that are never written.
+func TestRunPollsOncePerSecondAndZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New()
+		w, err := NewWithdrawal(NewKey().ID)
+		must.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range uint64(7) {
+			f := testFollower(table, i)
+			f.ApplyWithdrawals([]Withdrawal{w})
+			go f.Run(ctx)
+		}
+		time.Sleep(100 * time.Second)
+		withdrawn, err := NewStore(table).List(t.Context())
+		must.NoError(t, err)
+		must.Len(t, 1, withdrawn)
+		before := table.Counts().Reads
+		time.Sleep(700 * time.Second)
+		must.Between(t, 650, table.Counts().Reads-before, 750)
+		cancel()
+		synctest.Wait()
+	})
+}
