caller: refresh the look-up in the background, spread look-ups over seeds

Cause: the first request after max-age waited for a look-up, and all callers with the same list of seeds asked the first of them.

Change: after 75% of max-age, a request starts a look-up in the background and uses the cached answer, which still ends at max-age. Seeds are shuffled.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +32,7 @@
 // Options configure a Client.
 type Options struct {
 	// Seeds are the IP:port addresses of some entry instances. Look-ups start
-	// there; later ones also use the instances of the last answer.
+	// there, in random order; later ones also use the instances of the last answer.
 	Seeds []netip.AddrPort
 	// Client is the address that is looked up, normally the caller's own.
 	Client netip.Addr
@@ -123,6 +125,9 @@
 	if err := o.validate(); err != nil {
 		return nil, err
 	}
+	// Callers that share a list of seeds should not all ask the first.
+	o.Seeds = slices.Clone(o.Seeds)
+	rand.Shuffle(len(o.Seeds), func(i, j int) { o.Seeds[i], o.Seeds[j] = o.Seeds[j], o.Seeds[i] })
 	return &Client{options: o}, nil
 }
 
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -29,6 +29,8 @@
 	list    []string
 	maxAge  string
 	lookups int
+	// lookupTime is the duration of a look-up.
+	lookupTime time.Duration
 	// serve answers the nth request to an instance; nil means 200.
 	serve func(instance string, nth int) (*http.Response, error)
 	seen  []*http.Request
@@ -41,7 +43,12 @@
 	defer f.mu.Unlock()
 	if r.URL.Path == lookup.Path {
 		f.lookups++
-		return f.lookupAnswer()
+		answer, err := f.lookupAnswer()
+		pause := f.lookupTime
+		f.mu.Unlock()
+		time.Sleep(pause)
+		f.mu.Lock()
+		return answer, err
 	}
 	f.seen = append(f.seen, r)
 	instance := r.URL.Port()
@@ -52,7 +59,7 @@
 }
 
 func (f *fleet) lookupAnswer() (*http.Response, error) {
-	if f.list == nil {
+	if len(f.list) == 0 {
 		return nil, errDial
 	}
 	answer := lookup.Answer{Version: "1"}
@@ -65,6 +72,12 @@
 	return resp, err
 }
 
+func (f *fleet) setList(list ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = list
+}
+
 func (f *fleet) instances() []string {
 	var out []string
 	for _, r := range f.seen {
@@ -153,15 +166,18 @@
 			return err
 		}
 		must.NoError(t, do())
+		// A failed look-up in the background leaves the answer usable.
 		time.Sleep(5*time.Second - time.Nanosecond)
-		f.list = []string{"2"}
+		f.setList()
 		must.NoError(t, do())
 		must.Eq(t, []string{"1", "1"}, f.instances())
+		synctest.Wait()
+		f.setList("2")
 		time.Sleep(time.Nanosecond)
 		must.NoError(t, do())
 		must.Eq(t, []string{"1", "1", "2"}, f.instances())
 		time.Sleep(5 * time.Second)
-		f.list = nil
+		f.setList()
 		err := do()
 		must.True(t, errors.As(err, new(*LookupError)))
 		var failed *RequestError
@@ -172,6 +188,27 @@
 	})
 }
 
+// Guards against requests that wait for a look-up although the cached answer is
+// usable, and against a fleet that is asked for each of them.
+func TestCacheIsRefreshedInTheBackground(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{list: []string{"1"}, maxAge: "max-age=8"}
+		client := newTestClient(t, f)
+		for range 24 {
+			started := time.Now()
+			_, err := client.Instances(t.Context())
+			must.NoError(t, err)
+			must.EqOp(t, 0, time.Since(started))
+			time.Sleep(time.Second)
+			// From the second look-up on, an answer takes a second.
+			f.mu.Lock()
+			f.lookupTime = time.Second
+			f.mu.Unlock()
+		}
+		must.EqOp(t, 4, f.lookups)
+	})
+}
+
 // Guards against callers that press a refusing fleet before its Retry-After, and
 // against waits that cannot end within the deadline.
 func TestRetryAfter(t *testing.T) {
--- a/caller/resolve.go
+++ b/caller/resolve.go
@@ -18,31 +18,58 @@
 // maxLookupBytes bounds a look-up answer, which is about 1 KB.
 const maxLookupBytes = 64 << 10
 
+// refreshPart is the part of max-age, in percent, after which a look-up is made in
+// the background. The rest leaves time for a few instances that do not answer.
+const refreshPart = 75
+
 // directory is a look-up answer and what was learned about its instances since.
 type directory struct {
 	answer lookup.Answer
 	// expires is max-age after the look-up was sent, not after its answer came:
 	// the answer may have been old on arrival.
 	expires time.Time
+	// refresh is when the next look-up is made in the background, so that
+	// requests need not wait for it.
+	refresh time.Time
 	// avoid holds instances that refused connections or drain. They come last
 	// until the next look-up.
 	avoid map[string]bool
 }
 
-func (d *directory) fresh(now time.Time) bool {
-	return now.Before(d.expires)
+// cacheState says what a cached answer is good for.
+type cacheState int
+
+const (
+	cacheFresh cacheState = iota
+	cacheDue              // usable, but a new look-up is due
+	cacheExpired
+)
+
+func (d *directory) state(now time.Time) cacheState {
+	switch {
+	case !now.Before(d.expires):
+		return cacheExpired
+	case !now.Before(d.refresh):
+		return cacheDue
+	default:
+		return cacheFresh
+	}
 }
 
 // Instances returns the entry instances to use, best first, from the cache or
 // from a look-up. It returns *LookupError or the error of ctx.
 func (c *Client) Instances(ctx context.Context) ([]lookup.Instance, error) {
-	if instances, ok := c.cached(); ok {
+	instances, state := c.cached()
+	if state == cacheFresh {
 		return instances, nil
 	}
 	// The look-up is shared by all requests that wait for it, so it must not
 	// end with the context of one of them. Each of its steps has a timeout.
 	shared := context.WithoutCancel(ctx)
 	done := c.lookups.DoChan("lookup", func() (any, error) { return nil, c.refresh(shared) })
+	if state == cacheDue {
+		return instances, nil
+	}
 	select {
 	case result := <-done:
 		if result.Err != nil {
@@ -54,10 +81,10 @@
 	}
 }
 
-func (c *Client) cached() ([]lookup.Instance, bool) {
+func (c *Client) cached() ([]lookup.Instance, cacheState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.known.answer.Instances, c.known.fresh(time.Now())
+	return c.known.answer.Instances, c.known.state(time.Now())
 }
 
 // latest returns the answer of a look-up that ended just now, which counts even
@@ -69,7 +96,7 @@
 }
 
 func (c *Client) refresh(ctx context.Context) error {
-	if _, ok := c.cached(); ok {
+	if _, state := c.cached(); state == cacheFresh {
 		return nil
 	}
 	var causes []error
@@ -139,8 +166,13 @@
 	if err != nil {
 		return directory{}, err
 	}
-	expires := sent.Add(maxAge(resp.Header))
-	return directory{answer: answer, expires: expires, avoid: make(map[string]bool)}, nil
+	age := maxAge(resp.Header)
+	return directory{
+		answer:  answer,
+		expires: sent.Add(age),
+		refresh: sent.Add(age * refreshPart / 100),
+		avoid:   make(map[string]bool),
+	}, nil
 }
 
 // getLookup sends a look-up. It carries no key: look-ups are open to all.
