lookup: faster build

Cause: Build at 230,000 blocks spent its time in a comparison sort of 24-byte blocks and in growing the list of ranges.

Change: IPv4 blocks are sorted as packed 8-byte values, and the list of ranges has its largest size from the start.

Broken on purpose, seen to fail and restored: duplicate IPv4 blocks accepted, TestBuildRefuses, case "twice".

--- a/lookup/block.go
+++ b/lookup/block.go
@@ -112,31 +112,45 @@
 }
 
 // sortedBlocks checks the blocks and returns them sorted, by family.
-func sortedBlocks(index siteIndex, blocks []config.ClientBlock) (v4, v6 []block, err error) {
-	v4 = make([]block, 0, len(blocks))
+func sortedBlocks(index siteIndex, blocks []config.ClientBlock) (v4 []packed4, v6 []block, err error) {
+	v4 = make([]packed4, 0, len(blocks))
 	for _, cb := range blocks {
 		b, err := index.block(cb.Prefix, cb.Site)
 		if err != nil {
 			return nil, nil, err
 		}
 		if cb.Prefix.Addr().Is4() {
-			v4 = append(v4, b)
+			v4 = append(v4, pack(b))
 			continue
 		}
 		v6 = append(v6, b)
 	}
-	if err := sortBlocks(v4, true); err != nil {
+	if err := sort4(v4); err != nil {
 		return nil, nil, err
 	}
-	return v4, v6, sortBlocks(v6, false)
+	return slices.Clip(v4), slices.Clip(v6), sort6(v6)
 }
 
-func sortBlocks(blocks []block, is4 bool) error {
+// sort4 sorts by the packed value, which is several times faster than a
+// comparison function.
+func sort4(blocks []packed4) error {
+	slices.Sort(blocks)
+	for i := 1; i < len(blocks); i++ {
+		if blocks[i-1].samePrefix(blocks[i]) {
+			return defined(blocks[i].block().prefix(true))
+		}
+	}
+	return nil
+}
+
+func sort6(blocks []block) error {
 	slices.SortFunc(blocks, compareBlocks)
 	for i := 1; i < len(blocks); i++ {
 		if compareBlocks(blocks[i-1], blocks[i]) == 0 {
-			return &BlockError{Prefix: blocks[i].prefix(is4), Reason: "defined twice"}
+			return defined(blocks[i].prefix(false))
 		}
 	}
 	return nil
 }
+
+func defined(p netip.Prefix) error { return &BlockError{Prefix: p, Reason: "defined twice"} }
--- a/lookup/flatten.go
+++ b/lookup/flatten.go
@@ -12,7 +12,8 @@
 // the zero address. Neighbours with the same entry are one range, even if they
 // belong to different blocks: the block follows from address and length.
 func flatten(blocks []block) []span {
-	f := flattener{spans: make([]span, 0, len(blocks)+1)}
+	// Each block adds at most two ranges: its own and the one after it.
+	f := flattener{spans: make([]span, 0, 2*len(blocks)+1)}
 	f.emit(u128{}, gap)
 	for _, b := range blocks {
 		f.closeBefore(b.start)
--- a/lookup/packed.go
+++ b/lookup/packed.go
@@ -23,12 +23,15 @@
 	}
 }
 
-func pack4(blocks []block) []packed4 {
-	packed := make([]packed4, len(blocks))
-	for i, b := range blocks {
-		packed[i] = pack(b)
+// samePrefix reports whether p and q differ in their sites at most.
+func (p packed4) samePrefix(q packed4) bool { return p>>16 == q>>16 }
+
+func unpack4(packed []packed4) []block {
+	blocks := make([]block, len(packed))
+	for i, p := range packed {
+		blocks[i] = p.block()
 	}
-	return packed
+	return blocks
 }
 
 func (b block) prefix(is4 bool) netip.Prefix {
--- a/lookup/table.go
+++ b/lookup/table.go
@@ -54,9 +54,9 @@
 	return &Table{
 		sites:   append([]config.Site(nil), sites...),
 		index:   index,
-		ranges4: newRanges4(flatten(v4)),
+		ranges4: newRanges4(flatten(unpack4(v4))),
 		ranges6: newRanges6(flatten(v6)),
-		blocks4: pack4(v4),
+		blocks4: v4,
 		blocks6: v6,
 	}, nil
 }
