placement: test the limits; let slow start count once; cheaper report weights

Change: tests and a benchmark; a table for report weights and stored positions for shares; the weight counts for sampling and for the share of slots, not in the comparison.

--- a/placement/book.go
+++ b/placement/book.go
@@ -56,10 +56,12 @@
 	idle    int
 	reports []report // sorted by entry instance, so that sums are reproducible
 	offset  uint64   // decides which sharers get the odd slots
+	rank    int      // own position among the sharers, or -1
 }
 
 type report struct {
 	instance string
+	rank     int // position among the sharers, or -1
 	inUse    int
 	at       time.Time
 }
@@ -89,6 +91,10 @@
 	e.BackendServer = s
 	e.region = region
 	e.sharers = slices.Sorted(slices.Values(sharers))
+	e.rank = e.rankOf(b.self.Name)
+	for i := range e.reports {
+		e.reports[i].rank = e.rankOf(e.reports[i].instance)
+	}
 	if !slices.Contains(b.services[s.Service], e) {
 		b.services[s.Service] = append(b.services[s.Service], e)
 		slices.SortFunc(b.services[s.Service], func(x, y *entry) int { return cmp.Compare(x.Name, y.Name) })
@@ -124,7 +130,7 @@
 	if e == nil || instance == b.self.Name {
 		return
 	}
-	e.store(report{instance: instance, inUse: inUse, at: now.Add(-age)})
+	e.store(report{instance: instance, rank: e.rankOf(instance), inUse: inUse, at: now.Add(-age)})
 	e.reports = slices.DeleteFunc(e.reports, func(r report) bool { return now.Sub(r.at) > reportLife })
 }
 
@@ -194,7 +200,7 @@
 		for _, e := range entries {
 			part := 0
 			if e.region == b.self.Region {
-				part = min(left, max(0, e.share(b.self.Name, p)-e.inUse))
+				part = min(left, max(0, e.share(e.rank, Limit(e.Slots, p))-e.inUse))
 			}
 			left -= part
 			out = append(out, Load{Server: e.Name, InUse: e.inUse + part})
@@ -216,22 +222,23 @@
 		if e.region != b.self.Region {
 			continue
 		}
-		e.describe(&c, b.self.Name, in, now)
-		spare += spareAt(&c, e.share(b.self.Name, in.Policy), in.Policy)
+		e.describe(&c, in, now)
+		limit := Limit(e.Slots, in.Policy)
+		spare += spareAt(&c, e.share(e.rank, limit), limit)
 	}
 	return int(spare + rounding)
 }
 
-func spareAt(c *Candidate, share int, p config.Policy) float64 {
+func spareAt(c *Candidate, share, limit int) float64 {
 	own := float64(max(0, share-c.InUse))
 	expected, _, _ := othersUse(c, TierRegion)
-	left := float64(Limit(c.Slots, p)-c.InUse) - expected
+	left := float64(limit-c.InUse) - expected
 	if own <= 0 || left <= 0 {
 		return 0
 	}
 	unused := own
 	for _, u := range c.Others {
-		unused += max(0, float64(u.Share)-u.expected())
+		unused += max(0, float64(u.Share)-u.expected(freshness(u.Age)))
 	}
 	return c.Weight * min(own, left*own/unused)
 }
@@ -243,7 +250,7 @@
 	}
 	b.scratch = b.scratch[:len(entries)]
 	for i, e := range entries {
-		e.describe(&b.scratch[i], b.self.Name, in, now)
+		e.describe(&b.scratch[i], in, now)
 	}
 	return View{
 		Zone:       b.self.Zone,
@@ -256,7 +263,7 @@
 }
 
 // describe fills in a candidate and reuses its slice.
-func (e *entry) describe(c *Candidate, self string, in Inputs, now time.Time) {
+func (e *entry) describe(c *Candidate, in Inputs, now time.Time) {
 	weight, reason := in.States.Eligible(e.Name, now)
 	*c = Candidate{
 		Server: e.Name, Zone: e.Zone, Region: e.region, Labels: e.Labels,
@@ -266,27 +273,35 @@
 		ConnectionShare: max(1, e.Connections/max(1, len(e.sharers))),
 		Others:          c.Others[:0],
 	}
-	c.UnreportedShare = Limit(e.Slots, in.Policy) - e.share(self, in.Policy)
 	if len(e.sharers) == 0 {
-		c.UnreportedShare = 0
+		return
 	}
+	limit := Limit(e.Slots, in.Policy)
+	c.UnreportedShare = limit - e.share(e.rank, limit)
 	for _, r := range e.reports {
-		share := e.share(r.instance, in.Policy)
+		share := e.share(r.rank, limit)
 		c.UnreportedShare -= share
 		c.Others = append(c.Others, Use{InUse: r.inUse, Share: share, Age: now.Sub(r.at)})
 	}
 }
 
-// share returns an instance's static share of the server's limit. The shares are
-// whole slots and add up to the limit; which instances get the odd ones differs
-// from server to server.
-func (e *entry) share(instance string, p config.Policy) int {
-	rank, ok := slices.BinarySearch(e.sharers, instance)
-	if !ok {
+// rankOf returns an instance's position among the sharers, or -1.
+func (e *entry) rankOf(instance string) int {
+	rank, found := slices.BinarySearch(e.sharers, instance)
+	if !found {
+		return -1
+	}
+	return rank
+}
+
+// share returns the static share of the limit for the sharer at a position. The
+// shares are whole slots and add up to the limit; which sharers get the odd ones
+// differs from server to server.
+func (e *entry) share(rank, limit int) int {
+	if rank < 0 {
 		return 0
 	}
 	n := len(e.sharers)
-	limit := Limit(e.Slots, p)
 	share := limit / n
 	if (rank+int(e.offset%uint64(n)))%n < limit%n {
 		share++
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -39,7 +39,7 @@
 // option is a candidate that can take the request.
 type option struct {
 	index  int
-	weight float64 // sampling weight
+	weight float64 // sampling weight: only here does slow start count
 	fill   float64 // load with this request, as a share of the limit
 	free   int     // requests for which there is room, with this one
 	static bool
@@ -155,7 +155,7 @@
 	}
 	return option{
 		weight: c.Weight * limit,
-		fill:   load / (limit * c.Weight),
+		fill:   load / limit,
 		free:   int(allowed - load + 1),
 		static: static,
 	}, 0
@@ -169,7 +169,7 @@
 	for _, u := range c.Others {
 		fresh := freshness(u.Age)
 		reported += fresh * float64(u.InUse)
-		expected += u.expected()
+		expected += u.expected(fresh)
 		if u.Share > 0 {
 			stalest = math.Min(stalest, fresh)
 		}
@@ -192,9 +192,26 @@
 	return int(float64(slots)*utilization + rounding)
 }
 
-// freshness is the weight of a report: 1 at age 0, halved every half-life.
+// freshnessStep is the resolution of ages. A placement weighs up to some thousand
+// reports, for which computing powers would take most of its time.
+const freshnessStep = halfLife / 32
+
+// freshnessTable holds the weight of a report by its age in steps, up to reportLife.
+var freshnessTable = func() (table [reportLife/freshnessStep + 1]float64) {
+	for i := range table {
+		table[i] = math.Exp2(-float64(i) * float64(freshnessStep) / float64(halfLife))
+	}
+	return table
+}()
+
+// freshness is the weight of a report: 1 at age 0, halved every half-life, 0 after
+// reportLife.
 func freshness(age time.Duration) float64 {
-	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
+	step := max(0, age) / freshnessStep
+	if int(step) >= len(freshnessTable) {
+		return 0
+	}
+	return freshnessTable[step]
 }
 
 func connectionLimit(c *Candidate) int {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -42,10 +42,9 @@
 	Age time.Duration
 }
 
-// expected is the use to expect from the instance: what it reported, and with
-// growing age its static share instead.
-func (u Use) expected() float64 {
-	fresh := freshness(u.Age)
+// expected is the use to expect from the instance: what it reported, and with falling
+// freshness its static share instead.
+func (u Use) expected(fresh float64) float64 {
 	return fresh*float64(u.InUse) + (1-fresh)*float64(u.Share)
 }
 
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,326 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/selector"
+	"github.com/jacinthrack/jacinthrack/serverstate"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var (
+	epoch = time.Unix(1_000_000, 0)
+	full  = config.Policy{MaxUtilization: 1}
+)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func mustSelector(t must.T, text string) selector.Selector {
+	s, err := selector.Parse(text)
+	must.NoError(t, err)
+	return s
+}
+
+// allServing is a source of states for servers that all serve.
+type allServing struct{}
+
+func (allServing) Eligible(string, time.Time) (float64, serverstate.Reason) {
+	return 1, serverstate.Reason{Code: serverstate.CodeServing}
+}
+func (allServing) Latency(string) time.Duration { return 0 }
+
+// Guards against a candidate that is rejected for the wrong reason, or used although
+// a rule excludes it. Each case has one other server with room.
+func TestRejections(t *testing.T) {
+	refusal := errors.New("no headroom")
+	cases := []struct {
+		name   string
+		change func(c *Candidate)
+		want   Why
+	}{
+		{"labels", func(c *Candidate) { c.Labels = selector.Labels{"tier": "canary"} }, RejectedSelector},
+		{"state", func(c *Candidate) { c.Weight = 0 }, RejectedState},
+		{"tried", func(c *Candidate) { c.Server = "tried" }, RejectedTried},
+		{"own requests", func(c *Candidate) { c.InUse = 4 }, RejectedSlots},
+		{"reported requests", func(c *Candidate) { c.Others = []Use{{InUse: 4}} }, RejectedSlots},
+		{"aged report", func(c *Candidate) { c.InUse = 3; c.Others = []Use{{InUse: 1, Age: 2 * time.Second}} }, RejectedSlots},
+		{"missing reports", func(c *Candidate) { c.InUse = 2; c.UnreportedShare = 2 }, RejectedStaticShare},
+		{"old reports", func(c *Candidate) { c.InUse = 2; c.Others = []Use{{Share: 2, Age: time.Minute}} }, RejectedStaticShare},
+		{"slow start", func(c *Candidate) { c.InUse = 1; c.Weight = 0.1 }, RejectedSlowStart},
+		{"connections", func(c *Candidate) { c.Open = 10; c.ConnectionShare = 10 }, RejectedConnections},
+		{"refused region", func(c *Candidate) { c.Region, c.Zone = "far", "far-a" }, RejectedSpill},
+		{"unknown region", func(c *Candidate) { c.Region, c.Zone = "lost", "lost-a" }, RejectedSpill},
+		{"other zone", func(c *Candidate) { c.Zone = "b" }, RejectedFarther},
+		{"loaded", func(c *Candidate) { c.InUse = 3 }, RejectedMoreLoaded},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			candidate := func(name string) Candidate {
+				return Candidate{Server: name, Zone: "a", Region: "r", Slots: 4, Connections: 10, Weight: 1}
+			}
+			v := View{Zone: "a", Region: "r", Policy: full, Spill: map[string]error{"far": refusal}}
+			v.Candidates = []Candidate{candidate("x"), candidate("other")}
+			c.change(&v.Candidates[0])
+			req := Request{Selector: mustSelector(t, "tier!=canary"), Exclude: []string{"tried"}}
+			d := Choose(req, v, newRand())
+			must.Eq(t, "other", d.Server)
+			must.SliceLen(t, 1, d.Rejected)
+			must.Eq(t, c.want, d.Rejected[0].Why)
+			must.Eq(t, v.Candidates[0].Server, d.Rejected[0].Server)
+			must.NotEq(t, "unknown", d.Rejected[0].Why.String())
+			// The same candidate alone gives a typed refusal that says "not run".
+			v.Candidates = v.Candidates[:1]
+			if c.want == RejectedFarther || c.want == RejectedMoreLoaded {
+				return
+			}
+			var none *NoServerError
+			must.True(t, errors.As(Choose(req, v, newRand()).Err("svc"), &none))
+			must.True(t, none.NotRun())
+			must.Eq(t, c.want >= RejectedSlots, none.Overloaded)
+		})
+	}
+}
+
+// drawView returns a random view of up to 30 servers in two zones and two regions.
+func drawView(rt *rapid.T) View {
+	v := View{Zone: "a", Region: "r", Policy: full, Spill: map[string]error{}}
+	if rapid.Bool().Draw(rt, "spill") {
+		v.Spill["far"] = nil
+	}
+	v.Reserved = rapid.IntRange(0, 4).Draw(rt, "reserved")
+	for i := range rapid.IntRange(0, 30).Draw(rt, "servers") {
+		c := Candidate{Server: fmt.Sprint("s", i), Zone: "a", Region: "r", Connections: 9}
+		switch rapid.IntRange(0, 2).Draw(rt, "place") {
+		case 1:
+			c.Zone = "b"
+		case 2:
+			c.Zone, c.Region = "far-a", "far"
+		}
+		c.Slots = rapid.IntRange(1, 6).Draw(rt, "slots")
+		c.Weight = rapid.SampledFrom([]float64{0, 0.1, 0.5, 1, 1}).Draw(rt, "weight")
+		c.InUse = rapid.IntRange(0, 6).Draw(rt, "in use")
+		for range rapid.IntRange(0, 2).Draw(rt, "others") {
+			c.Others = append(c.Others, Use{
+				InUse: rapid.IntRange(0, 4).Draw(rt, "reported"),
+				Share: rapid.IntRange(0, 3).Draw(rt, "share"),
+				Age:   time.Duration(rapid.IntRange(0, 9000).Draw(rt, "age ms")) * time.Millisecond,
+			})
+		}
+		v.Candidates = append(v.Candidates, c)
+	}
+	return v
+}
+
+// Guards against a server above its slots as far as this instance knows, against a
+// farther server while a nearer one has room, and against rejections that are
+// missing.
+func TestChooseKeepsLimits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		v := drawView(rt)
+		d := Choose(Request{}, v, newRand())
+		byName := map[string]Candidate{}
+		for _, c := range v.Candidates {
+			byName[c.Server] = c
+		}
+		listed := len(d.Rejected)
+		for _, r := range d.Rejected {
+			must.NotEq(rt, d.Server, r.Server)
+			c := byName[r.Server]
+			if r.Why == RejectedFarther && tierOf(&c, v) <= d.Tier {
+				rt.Fatalf("%s is not farther than %s", r.Server, d.Server)
+			}
+		}
+		if d.Server == "" {
+			must.Eq(rt, len(v.Candidates), listed)
+			return
+		}
+		must.Eq(rt, len(v.Candidates)-1, listed)
+		c := byName[d.Server]
+		known := float64(c.InUse)
+		for _, u := range c.Others {
+			known += freshness(u.Age) * float64(u.InUse)
+		}
+		if known+1 > float64(c.Slots)+1e-6 || c.Weight == 0 {
+			rt.Fatalf("%s chosen with %v of %d slots in use, weight %v", d.Server, known, c.Slots, c.Weight)
+		}
+	})
+}
+
+// Guards against overload when measurements stop: whatever was last reported, the
+// instances together end within each server's limit.
+func TestStaticShares(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(rt, "instances")
+		slots := rapid.IntRange(1, 9).Draw(rt, "slots")
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprint("entry-", i))
+		}
+		rng := newRand()
+		total := map[string]int{}
+		for _, name := range names {
+			b := NewBook(Instance{Name: name, Zone: "a", Region: "r"})
+			for s := range 5 {
+				server := config.BackendServer{Name: fmt.Sprint("s", s), Service: "svc", Zone: "a", Slots: slots, Connections: 100}
+				b.SetServer(server, "r", names)
+				for _, other := range names {
+					b.Report(other, server.Name, rapid.IntRange(0, 2).Draw(rt, "report"), 0, epoch)
+				}
+			}
+			later := epoch.Add(time.Minute)
+			for {
+				d := b.Place(Request{Service: "svc"}, Inputs{States: allServing{}, Policy: full}, rng, later)
+				if d.Server == "" {
+					break
+				}
+				total[d.Server]++
+			}
+		}
+		for server, inUse := range total {
+			if inUse > slots {
+				rt.Fatalf("%s has %d requests for %d slots", server, inUse, slots)
+			}
+		}
+		must.MapLen(rt, min(5, 5*slots), total) // the shares leave nothing unused
+	})
+}
+
+// Guards against a shift without a token, and against refusing a request that could
+// have stayed where it was.
+func TestShift(t *testing.T) {
+	shift := &config.Shift{To: mustSelector(t, "tier=new")}
+	req := Request{Selector: mustSelector(t, "tier=old")}
+	v := View{Zone: "a", Region: "r", Policy: full, Candidates: []Candidate{
+		{Server: "old", Zone: "a", Region: "r", Labels: selector.Labels{"tier": "old"}, Slots: 4, Connections: 9, Weight: 1},
+		{Server: "new", Zone: "a", Region: "r", Labels: selector.Labels{"tier": "new"}, Slots: 4, Connections: 9, Weight: 1},
+	}}
+	d := Choose(req, v, newRand())
+	must.Eq(t, "old", d.Server)
+	must.False(t, d.Shifted)
+	req.Shift = shift
+	d = Choose(req, v, newRand())
+	must.Eq(t, "new", d.Server)
+	must.True(t, d.Shifted)
+	v.Candidates[1].InUse = 4
+	d = Choose(req, v, newRand())
+	must.Eq(t, "old", d.Server)
+	must.False(t, d.Shifted)
+}
+
+// Guards against local requests that take the room granted to other regions.
+func TestReservedRoomStaysFree(t *testing.T) {
+	b := NewBook(Instance{Name: "e", Zone: "a", Region: "r"})
+	b.SetServer(config.BackendServer{Name: "s", Service: "svc", Zone: "a", Slots: 4, Connections: 9}, "r", []string{"e"})
+	in := Inputs{States: allServing{}, Policy: full, Reserved: 3}
+	must.Eq(t, "s", b.Place(Request{Service: "svc"}, in, newRand(), epoch).Server)
+	d := b.Place(Request{Service: "svc"}, in, newRand(), epoch)
+	must.Eq(t, RejectedReserved, d.Rejected[0].Why)
+	var none *NoServerError
+	must.True(t, errors.As(d.Err("svc"), &none))
+	must.True(t, none.HeldBack)
+	must.Eq(t, []Load{{Server: "s", InUse: 4}}, b.Loads(func(string) int { return 3 }, full))
+}
+
+// Guards against spare capacity that two instances of a region grant twice.
+func TestSpareIsCountedOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := []string{"x", "y", "z"}
+		slots := rapid.IntRange(1, 9).Draw(rt, "slots")
+		used := map[string]int{}
+		left := slots
+		for _, name := range names {
+			used[name] = rapid.IntRange(0, left).Draw(rt, name)
+			left -= used[name]
+		}
+		sum := 0
+		for _, name := range names {
+			b := NewBook(Instance{Name: name, Zone: "a", Region: "r"})
+			b.SetServer(config.BackendServer{Name: "s", Service: "svc", Zone: "a", Slots: slots, Connections: 99}, "r", names)
+			b.servers["s"].inUse = used[name]
+			for _, other := range names {
+				b.Report(other, "s", used[other], 0, epoch)
+			}
+			sum += b.Spare("svc", Inputs{States: allServing{}, Policy: full}, epoch)
+		}
+		if sum > left {
+			rt.Fatalf("spare %d of %d free slots, use %v", sum, left, used)
+		}
+	})
+}
+
+// Guards against a warming server that gets as much work as a serving one, or none
+// and never warms, and against load that piles up on one of several equal servers.
+func TestSharesOfWork(t *testing.T) {
+	rng := newRand()
+	count := func(weight float64) (chosen int) {
+		v := View{Zone: "a", Region: "r", Policy: full}
+		for i := range 4 {
+			v.Candidates = append(v.Candidates, Candidate{
+				Server: fmt.Sprint("s", i), Zone: "a", Region: "r", Slots: 4, Connections: 9, Weight: 1,
+			})
+		}
+		v.Candidates[0].Weight = weight
+		for range 1000 {
+			if Choose(Request{}, v, rng).Server == "s0" {
+				chosen++
+			}
+		}
+		return chosen
+	}
+	must.Between(t, 20, count(0.2), 120)
+	must.Between(t, 150, count(1), 350)
+}
+
+// Guards against two concurrent requests in one last slot.
+func TestConcurrentPlace(t *testing.T) {
+	b := NewBook(Instance{Name: "e", Zone: "a", Region: "r"})
+	for i := range 3 {
+		b.SetServer(config.BackendServer{Name: fmt.Sprint("s", i), Service: "svc", Zone: "a", Slots: 4, Connections: 99}, "r", []string{"e"})
+	}
+	rng := newRand()
+	var wg sync.WaitGroup
+	placed := make(chan string, 100)
+	for range 100 {
+		wg.Go(func() {
+			in := Inputs{States: allServing{}, Policy: full}
+			if d := b.Place(Request{Service: "svc"}, in, rng, epoch); d.Server != "" {
+				placed <- d.Server
+			}
+		})
+	}
+	wg.Wait()
+	must.Eq(t, 12, len(placed))
+	for range 12 {
+		b.Done(<-placed)
+	}
+	must.Eq(t, []Load{{Server: "s0"}, {Server: "s1"}, {Server: "s2"}}, b.Loads(func(string) int { return 0 }, full))
+}
+
+// BenchmarkPlace100 places one request among 100 servers with 16 reporting instances.
+func BenchmarkPlace100(b *testing.B) {
+	book := NewBook(Instance{Name: "e0", Zone: "a", Region: "r"})
+	var names []string
+	for i := range 17 {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	for i := range 100 {
+		name := fmt.Sprint("s", i)
+		book.SetServer(config.BackendServer{Name: name, Service: "svc", Zone: "a", Slots: 40, Connections: 330}, "r", names)
+		for _, other := range names {
+			book.Report(other, name, 1, 0, epoch)
+		}
+	}
+	rng := newRand()
+	in := Inputs{States: allServing{}, Policy: full}
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Done(book.Place(Request{Service: "svc"}, in, rng, epoch).Server)
+	}
+}
