Announce crashing requests at once; test a cut-off zone

Cause: a request that crashes its server, sent again through three instances within a second, crashed all 6 servers of a service, two for each instance, because the news travelled with the next digest.

Change: the death of a server with requests in progress is announced to every instance at once. Tests can cut an instance off from its peers and the platform.

Ruled out: shorter digests, which would cost control traffic all the time for an event that is rare.

The test's bound stays at two for each instance, which holds without any announcement arriving.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -41,6 +41,9 @@
 	Zone string
 	// Members returns the live entry instances, this one included.
 	Members func() []Member
+	// OnSuspects is called after the death of a server with requests in
+	// progress. It must not block.
+	OnSuspects func()
 	// Tokens admits shifted requests.
 	Tokens   shiftcap.Tokens
 	Registry prometheus.Registerer
--- a/balancer/done.go
+++ b/balancer/done.go
@@ -42,6 +42,7 @@
 		suspects := b.quarantine.ServerDied(t.decision.Server, now)
 		b.log.Warn("backend server died with requests in progress", "server", t.decision.Server,
 			"request_id", t.call.RequestID, "suspects", len(suspects))
+		b.opts.OnSuspects()
 	}
 	b.quarantine.End(fingerprint, t.decision.Server, r.Status > 0 && r.Err == nil, now)
 	return b.quarantine.Deaths(fingerprint, now) >= quarantineDeaths
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,11 @@
 	Log      *slog.Logger
 	// Registry collects the metrics. Nil means a new one.
 	Registry *prometheus.Registry
+	// WrapPeers wraps the listener for other instances, and DialPeer opens
+	// connections to them, for example to count or cut their traffic. Nil means
+	// plain TCP.
+	WrapPeers func(net.Listener) net.Listener
+	DialPeer  func(ctx context.Context, address string) (net.Conn, error)
 	// OnSuperseded is called when a newer process has this instance's name. The
 	// process should then end. Nil means that it is only logged.
 	OnSuperseded func(error)
@@ -161,16 +166,17 @@
 	e.limiter = newLimiter(self, store, e.config, e.log)
 	e.keys = newKeyService(self, store, e.members, e.log)
 	e.balancer = balancer.New(balancer.Options{
-		Name:     self.Name,
-		Zone:     self.Zone,
-		Members:  e.members.live,
-		Tokens:   e.limiter.Manager,
-		Registry: e.registry,
-		Log:      e.log,
+		Name:       self.Name,
+		Zone:       self.Zone,
+		Members:    e.members.live,
+		OnSuspects: func() { go e.gossip.announceSuspects() },
+		Tokens:     e.limiter.Manager,
+		Registry:   e.registry,
+		Log:        e.log,
 	})
 	e.admission = newAdmission(e.config, e.balancer)
 	e.gossip = &gossip{members: e.members, config: e.config, keys: e.keys, balancer: e.balancer, log: e.log}
-	peers, err := e.newPeers()
+	peers, err := e.newPeers(o)
 	if err != nil {
 		return err
 	}
@@ -189,13 +195,17 @@
 	return nil
 }
 
-func (e *Entry) newPeers() (*peer.Service, error) {
+func (e *Entry) newPeers(o Options) (*peer.Service, error) {
+	if o.WrapPeers != nil {
+		e.listeners.peer = o.WrapPeers(e.listeners.peer)
+	}
 	options := peer.Options{
 		Name:      e.settings.Name,
 		Zone:      e.settings.Zone,
 		Listener:  e.listeners.peer,
 		Knowledge: e.gossip,
 		Directory: e.members,
+		Dial:      o.DialPeer,
 		Log:       e.log,
 		Requires:  []string{gossipName},
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthrack/jacinthrack/config"
 	"github.com/jacinthrack/jacinthrack/forward"
+	"github.com/jacinthrack/jacinthrack/internal/standin/backend"
 	standin "github.com/jacinthrack/jacinthrack/internal/standin/platform"
 	"github.com/jacinthrack/jacinthrack/internal/testfleet"
 	"github.com/jacinthrack/jacinthrack/operatorapi"
@@ -341,3 +342,65 @@
 	most := 5 + int32(time.Since(started)/time.Second) + 1
 	must.LessEq(t, most, admitted.Load())
 }
+
+// Guards against a zone that is cut off and goes on with keys that may have been
+// withdrawn, stops serving what needs no agreement, or keeps old knowledge after
+// the cut.
+func TestZoneCutOff(t *testing.T) {
+	f := startFleet(t)
+	f.Networks[2].Cut()
+	eventually(t, "refusal of keyed routes", func() bool {
+		status, body, err := f.get(2, "/r/check/x", f.key)
+		return err == nil && status == http.StatusServiceUnavailable && problemOf(t, body).Type == problem.TypeKeyStale
+	})
+	status, _, err := f.get(2, "/r/public/x", "")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, status)
+	status, _, err = f.get(0, "/r/check/x", f.key)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, status)
+
+	resp, err := f.Operator(0).Withdraw(t.Context(), operatorapi.WithdrawRequest{KeyID: f.keyID})
+	must.NoError(t, err)
+	must.True(t, resp.InForce, must.Sprintf("response %+v", resp))
+	must.Eq(t, []string{testfleet.EntryName(2)}, resp.Reach.NotReached)
+	doc := *f.Document
+	doc.Policy.MaxUtilization = 0.5
+	published, err := f.Operator(0).Publish(t.Context(), &doc, 1)
+	must.NoError(t, err)
+	must.Eq(t, []string{testfleet.EntryName(2)}, published.Reach.NotReached)
+
+	f.Networks[2].Heal()
+	eventually(t, "withdrawal after the cut", func() bool {
+		status, _, err := f.get(2, "/r/check/x", f.key)
+		must.True(t, err != nil || status != http.StatusOK)
+		return status == http.StatusForbidden
+	})
+	eventually(t, "generation 2 after the cut", func() bool {
+		s, err := f.Operator(2).Status(t.Context())
+		return err == nil && s.Generation == 2
+	})
+}
+
+// Guards against a request that takes down one server after another while its
+// caller sends it again through all instances.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	f := startFleet(t)
+	for i := range 30 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.CallerURL(i%len(f.Entries))+"/r/check/poison", nil)
+		must.NoError(t, err)
+		req.Header.Set(forward.HeaderKey, f.key)
+		req.Header.Set(forward.HeaderIdempotencyKey, "poison")
+		req.Header.Set(backend.HeaderCrash, "1")
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		resp.Body.Close()
+	}
+	crashes := f.Backends.Journal().Runs("poison")
+	// Each instance stops at two deaths that it knows of, whatever it hears.
+	must.LessEq(t, 2*len(f.Entries), crashes)
+	must.Positive(t, crashes)
+	status, _, err := f.get(0, "/r/check/x", f.key)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, status)
+}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -154,6 +154,7 @@
 // Announced implements peer.Knowledge.
 func (g *gossip) Announced(ctx context.Context, a *peerpb.Announcement) *peerpb.Confirmation {
 	g.keys.ApplyWithdrawals(withdrawalsFromProto(a.GetWithdrawals()))
+	g.balancer.MergeQuarantined(a.GetQuarantined(), 0, time.Now())
 	if wanted := a.GetConfig().GetGeneration(); wanted > 0 {
 		g.offer(ctx, a.GetSender().GetName(), a.GetConfig())
 		generation, _ := g.config.Version()
@@ -164,6 +165,18 @@
 	return g.confirmation()
 }
 
+// announceSuspects tells every instance at once about requests that were in
+// progress when a server died. Waiting for the next digest would let a caller
+// that sends such a request again crash a server at each instance.
+func (g *gossip) announceSuspects() {
+	ctx, cancel := context.WithTimeout(context.Background(), peer.AnnounceTimeout)
+	defer cancel()
+	g.peers.Announce(ctx, &peerpb.Announcement{
+		Sender:      g.members.sender(),
+		Quarantined: g.balancer.Quarantined(time.Now()),
+	})
+}
+
 func (g *gossip) confirmation() *peerpb.Confirmation {
 	return &peerpb.Confirmation{Name: g.members.self.Name, BootId: g.members.self.BootID}
 }
--- a/internal/testfleet/testfleet.go
+++ b/internal/testfleet/testfleet.go
@@ -41,6 +41,7 @@
 	Platform *standin.Server
 	Backends *backend.Fleet
 	Entries  []*entry.Entry
+	Networks []*Network // of the entry instances
 	Document *config.Document
 
 	options Options
@@ -115,7 +116,11 @@
 
 // AddEntry starts the entry instance with the index, or its replacement.
 func (f *Fleet) AddEntry(ctx context.Context, index int) (*entry.Entry, error) {
+	network := newNetwork(f.Platform.URL())
 	e, err := entry.New(entry.Options{
+		Platform:  network,
+		WrapPeers: network.wrap,
+		DialPeer:  network.dial,
 		Settings: settings.Entry{
 			Name:            EntryName(index),
 			Zone:            f.options.Zones[index],
@@ -137,8 +142,10 @@
 	}
 	if index < len(f.Entries) {
 		f.Entries[index] = e
+		f.Networks[index] = network
 	} else {
 		f.Entries = append(f.Entries, e)
+		f.Networks = append(f.Networks, network)
 	}
 	return e, nil
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -186,7 +186,13 @@
 	if err != nil {
 		return nil
 	}
-	message := &peerpb.Announcement{Sender: a.Sender, Config: a.Config, Withdrawals: a.Withdrawals, Hops: hops}
+	message := &peerpb.Announcement{
+		Sender:      a.GetSender(),
+		Config:      a.GetConfig(),
+		Withdrawals: a.GetWithdrawals(),
+		Quarantined: a.GetQuarantined(),
+		Hops:        hops,
+	}
 	reply, err := client.Announce(ctx, message)
 	if err != nil {
 		s.log.Warn("announcement failed", "peer", in.Name, "error", err)
--- a/peer/service.go
+++ b/peer/service.go
@@ -25,6 +25,8 @@
 	Knowledge Knowledge
 	Directory Directory
 	Log       *slog.Logger
+	// Dial opens connections to peers. Nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Requires names the kernel services behind Knowledge and Directory.
 	Requires []string
 }
@@ -39,6 +41,7 @@
 	knowledge Knowledge
 	directory Directory
 	log       *slog.Logger
+	dial      func(ctx context.Context, address string) (net.Conn, error)
 	requires  []string
 
 	grpc   *grpc.Server
@@ -60,6 +63,7 @@
 		knowledge: o.Knowledge,
 		directory: o.Directory,
 		log:       o.Log,
+		dial:      o.Dial,
 		requires:  o.Requires,
 		conns:     make(map[string]*grpc.ClientConn),
 	}
@@ -120,15 +124,19 @@
 	if ok {
 		return peerpb.NewPeerClient(conn), nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(s.credentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
-		grpc.WithReadBufferSize(4<<10),
-		grpc.WithWriteBufferSize(4<<10),
+		grpc.WithReadBufferSize(4 << 10),
+		grpc.WithWriteBufferSize(4 << 10),
 		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: ExchangeTimeout}),
-	)
+	}
+	if s.dial != nil {
+		options = append(options, grpc.WithContextDialer(s.dial))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
