Bound key loads separately, sort label issues, test damaged input

Cause: a poll that has to load all records shared the 2 s of a one-row read, so that a slow platform could keep a new instance from ever loading. Issues about labels came in map order.

Change: DefaultLoadTimeout for polls that load records; issues in label order; a property that edits a document at random and expects a document or a ValidationError; the examples survive Marshal and Parse.

--- a/config/examples_test.go
+++ b/config/examples_test.go
@@ -39,6 +39,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			doc := load(t, c.name)
+			data, err := doc.Marshal()
+			must.NoError(t, err)
+			again, err := Parse(data)
+			must.NoError(t, err)
+			must.SliceEmpty(t, Diff(doc, again), must.Sprint("canonical form"))
 			must.Len(t, 3, doc.Regions)
 			must.Len(t, 6, doc.Zones)
 			must.Len(t, 3, doc.Links)
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 )
 
 const smallDocument = `{
@@ -133,3 +134,21 @@
 	nested := strings.Replace(smallDocument, `"20ms"`, `{"value": ["20ms"]}`, 1)
 	must.MapLen(t, 1, parseIssues(t, nested))
 }
+
+// Guards against input that makes the parser panic or return another error than
+// the list of issues.
+func TestParseDamagedInput(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := []byte(smallDocument)
+		for range rapid.IntRange(0, 4).Draw(t, "edits") {
+			at := rapid.IntRange(0, len(text)-1).Draw(t, "at")
+			end := min(len(text), at+rapid.IntRange(0, 9).Draw(t, "length"))
+			piece := rapid.SampledFrom([]string{"", "null", "{}", "[", "-1", `"x"`, "1e400", "\x00"}).Draw(t, "piece")
+			text = slices.Concat(text[:at], []byte(piece), text[end:])
+		}
+		doc, err := Parse(text)
+		var invalid *ValidationError
+		must.True(t, (err == nil) != errors.As(err, &invalid))
+		must.Eq(t, err == nil, doc != nil)
+	})
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -130,7 +132,8 @@
 
 func (v *validator) labels(p *path, labels selector.Labels) {
 	const allowed = "letters, digits, '.', '_', '-' and '/' in label names and values"
-	for name, value := range labels {
+	for _, name := range slices.Sorted(maps.Keys(labels)) {
+		value := labels[name]
 		if !selector.ValidName(name) {
 			v.add(p.at(name), name, allowed)
 		} else if !selector.ValidName(value) {
--- a/keys/follower.go
+++ b/keys/follower.go
@@ -15,16 +15,20 @@
 
 // Defaults of FollowerOptions.
 const (
-	// DefaultCallTimeout bounds one poll or one write of a pending withdrawal.
+	// DefaultCallTimeout bounds the read of the key generation and one write of a
+	// pending withdrawal.
 	DefaultCallTimeout = 2 * time.Second
+	// DefaultLoadTimeout bounds a poll in which records changed. Loading 10,000
+	// records takes 20 scans, each of which a slow platform may delay by a second.
+	DefaultLoadTimeout = 30 * time.Second
 	// summaryWindow is the age up to which digests count in zone summaries.
 	// Digests come once a second, and a summary has to arrive within the shortest
 	// common staleness bound of 5 s.
 	summaryWindow = 3 * time.Second
 )
 
-// FollowerOptions are the parameters of a Follower. All but Now, CallTimeout and
-// ColdStart are required.
+// FollowerOptions are the parameters of a Follower. All but Now, the
+// timeouts and ColdStart are required.
 type FollowerOptions struct {
 	Table  platform.Table
 	Name   string // of the entry instance
@@ -36,6 +40,7 @@
 
 	Now         func() time.Time // monotonic clock, default time.Now
 	CallTimeout time.Duration
+	LoadTimeout time.Duration
 	// ColdStart says that no other instance has key data, see
 	// Freshness.DeclareComplete.
 	ColdStart bool
@@ -65,6 +70,9 @@
 	if options.CallTimeout == 0 {
 		options.CallTimeout = DefaultCallTimeout
 	}
+	if options.LoadTimeout == 0 {
+		options.LoadTimeout = DefaultLoadTimeout
+	}
 	f := &Follower{
 		options:   options,
 		store:     NewStore(options.Table),
@@ -81,7 +89,9 @@
 // Set returns the key data.
 func (f *Follower) Set() *Set { return f.set }
 
-// SetListed sets the entry instances on the last known list, leaving ones included.
+// SetListed sets the entry instances on the last known list, leaving ones
+// included. It must not be called before a list was read: an instance that is
+// alone on the list trusts the platform without hearing from others.
 func (f *Follower) SetListed(instances []platform.Instance) {
 	listed := make(map[string]string, len(instances))
 	for _, i := range instances {
@@ -150,7 +160,7 @@
 // all records. It returns *platform.UnavailableError, *StaleReadError or
 // *RowError.
 func (f *Follower) Poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.options.LoadTimeout)
 	defer cancel()
 	select {
 	case f.polling <- struct{}{}:
@@ -159,7 +169,7 @@
 	}
 	defer func() { <-f.polling }()
 	asOf := f.options.Now()
-	generation, err := f.store.Generation(ctx)
+	generation, err := f.generation(ctx)
 	if err != nil {
 		return err
 	}
@@ -170,6 +180,12 @@
 	return nil
 }
 
+func (f *Follower) generation(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
+	defer cancel()
+	return f.store.Generation(ctx)
+}
+
 // advance loads the changes up to a generation of the platform.
 func (f *Follower) advance(ctx context.Context, generation uint64) error {
 	known := f.set.Generation()
