lookup: build views by zone instead of by instance

Cause: a view of 24 zones and 408 instances took 2.1 ms, and it is built on every change of the membership.

Change: the distance is computed for each pair of zones, not of zone and instance.

Figures, go test ./lookup/ -run xxx -bench View -benchtime 500ms -cpu 1, machine shared (load 11 to 15 of 10): 2.14 ms before, 0.72 ms after. The tests of the order are unchanged.

--- a/lookup/view.go
+++ b/lookup/view.go
@@ -43,6 +43,7 @@
 	zoneByName map[string]int
 	instances  []Instance // live ones, by name
 	hashes     []uint64   // of the names of instances
+	zoneOf     []int      // positions of the zones of instances
 	version    uint64
 }
 
@@ -75,7 +76,9 @@
 	v.instances = slices.CompactFunc(v.instances, func(a, b Instance) bool { return a.Name == b.Name })
 	for _, instance := range v.instances {
 		v.addZone(instance.Zone, "")
-		v.zones[v.zoneByName[instance.Zone]].live = true
+		z := v.zoneByName[instance.Zone]
+		v.zones[z].live = true
+		v.zoneOf = append(v.zoneOf, z)
 		v.hashes = append(v.hashes, hashName(instance.Name))
 	}
 	distances := newDistances(doc.Links)
@@ -106,22 +109,22 @@
 }
 
 func (v *View) tiersOf(from *zone, d distances) [][]int {
-	members := make(map[tier][]int)
-	for i, instance := range v.instances {
-		to := &v.zones[v.zoneByName[instance.Zone]]
-		t := d.tier(from, to)
-		members[t] = append(members[t], i)
-	}
-	order := make([]tier, 0, len(members))
-	for t := range members {
-		order = append(order, t)
+	byZone := make([]tier, len(v.zones))
+	for i := range v.zones {
+		byZone[i] = d.tier(from, &v.zones[i])
 	}
+	order := slices.Clone(byZone)
 	slices.SortFunc(order, compareTiers)
+	order = slices.Compact(order)
+	place := make([]int, len(v.zones))
+	for i, t := range byZone {
+		place[i], _ = slices.BinarySearchFunc(order, t, compareTiers)
+	}
 	tiers := make([][]int, len(order))
-	for i, t := range order {
-		tiers[i] = members[t]
+	for i, z := range v.zoneOf {
+		tiers[place[z]] = append(tiers[place[z]], i)
 	}
-	return tiers
+	return slices.DeleteFunc(tiers, func(members []int) bool { return len(members) == 0 })
 }
 
 // distances holds the latency between regions.
