--- a/lookup/handler.go
+++ b/lookup/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -24,17 +23,6 @@
 // configuration or no live instance can be asked again.
 const notReadyRetry = time.Second
 
-// Snapshot is what an entry instance answers look-ups from. It is immutable.
-type Snapshot struct {
-	// Generation is that of the configuration the table was built from.
-	Generation uint64
-	Table      *Table
-	View       *View
-	// MaxAge bounds how long a caller may use an answer. Whole seconds are
-	// sent; a rest is cut off.
-	MaxAge time.Duration
-}
-
 // Source gives the current snapshot.
 type Source interface {
 	// Snapshot returns the current snapshot, or nil before the first
@@ -125,15 +113,3 @@
 func badRequest(format string, args ...any) *problem.Document {
 	return problem.New(problem.TypeBadRequest, http.StatusBadRequest, problem.RanNo, format, args...)
 }
-
-// Answer returns the answer to a query.
-func (s *Snapshot) Answer(q Query) *Answer {
-	place := Locate(s.Table, s.View, q)
-	return &Answer{
-		Version:   fmt.Sprintf("%d-%016x", s.Generation, s.View.Version()),
-		Site:      place.Site,
-		Block:     place.Block,
-		Zone:      place.Zone,
-		Instances: s.View.Order(make([]Instance, 0, MaxInstances), place),
-	}
-}
--- a/lookup/handler_test.go
+++ b/lookup/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -22,17 +23,17 @@
 func testSnapshot(tb testing.TB, blocks []config.ClientBlock) *Snapshot {
 	doc := testDocument(2, 2, 2)
 	doc.ClientBlocks = blocks
-	table, err := FromDocument(doc)
+	doc.Policy.LookupMaxAge = config.Duration(5500 * time.Millisecond)
+	snapshot, err := NewSnapshot(7, doc, testMembers(doc, 2))
 	must.NoError(tb, err)
-	return &Snapshot{Generation: 7, Table: table, View: NewView(doc, testMembers(doc, 2)), MaxAge: 5500 * time.Millisecond}
+	return snapshot
 }
 
 // Guards against answers that callers cannot use: errors without a problem
 // document, a max-age that lasts longer than configured, or an empty list.
 func TestHandler(t *testing.T) {
 	ready := testSnapshot(t, []config.ClientBlock{{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Site: "site-r1z0"}})
-	alone := *ready
-	alone.View = NewView(testDocument(1), nil)
+	alone := ready.WithMembers(testDocument(1), nil)
 	cases := []struct {
 		name     string
 		snapshot *Snapshot
@@ -48,7 +49,7 @@
 		{"unknown zone", ready, "GET", "/v1/lookup?client=10.1.2.3&zone=x", 400, problem.TypeBadRequest},
 		{"method", ready, "POST", "/v1/lookup?client=10.1.2.3", 405, problem.TypeMethodNotAllowed},
 		{"no configuration", nil, "GET", "/v1/lookup?client=10.1.2.3", 503, problem.TypeNotReady},
-		{"no live instance", &alone, "GET", "/v1/lookup?client=10.1.2.3", 503, problem.TypeNotReady},
+		{"no live instance", alone, "GET", "/v1/lookup?client=10.1.2.3", 503, problem.TypeNotReady},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -74,6 +75,29 @@
 	}
 }
 
+// Guards against answers without a bound when the policy names none, and against
+// answers of different configurations or memberships that have the same version.
+func TestSnapshot(t *testing.T) {
+	doc := testDocument(1)
+	members := testMembers(doc, 2)
+	first, err := NewSnapshot(1, doc, members)
+	must.NoError(t, err)
+	must.EqOp(t, config.DefaultLookupMaxAge, first.MaxAge)
+	second, err := NewSnapshot(2, doc, members)
+	must.NoError(t, err)
+	third := second.WithMembers(doc, members[:1])
+	query := Query{Client: netip.MustParseAddr("10.0.0.1")}
+	versions := make(map[string]bool)
+	for _, s := range []*Snapshot{first, second, third, second.WithMembers(doc, members), second.WithMembers(doc, members[1:])} {
+		versions[s.Answer(query).Version] = true
+	}
+	must.MapLen(t, 4, versions)
+	must.Len(t, 1, third.Answer(query).Instances)
+	doc.ClientBlocks = []config.ClientBlock{{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Site: "nowhere"}}
+	_, err = NewSnapshot(3, doc, members)
+	must.True(t, errors.As(err, new(*UnknownSiteError)))
+}
+
 // discard is an http.ResponseWriter without a socket.
 type discard struct{ header http.Header }
 
