bench control: measure what control costs each instance at several sizes

Cause: docs/CAPACITY.md needs slopes.

Change: in-process fleets with a synthetic deployment; processor time, heap, bytes between instances, platform reads and writes, publish and replacement times for each size.

--- a/command/bench.go
+++ b/command/bench.go
@@ -128,7 +128,7 @@
 }
 
 func benchCommand(o *options) *cobra.Command {
-	return group("bench", "Measure a running fleet", benchRun(o), benchPlan(o), benchCompare(o))
+	return group("bench", "Measure a running fleet", benchRun(o), benchPlan(o), benchCompare(o), benchControl(o))
 }
 
 func benchRun(o *options) *cobra.Command {
--- /dev/null
+++ b/command/capacity.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jacinthrack/jacinthrack/internal/capacity"
+)
+
+func benchControl(o *options) *cobra.Command {
+	var (
+		instances []int
+		size      capacity.Size
+		measured  time.Duration
+	)
+	cmd := &cobra.Command{
+		Use:   "control",
+		Short: "Measure the control traffic of fleets of several sizes in this process",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var rows []capacity.Row
+			for _, n := range instances {
+				size.Instances = n
+				row, err := capacity.Measure(cmd.Context(), size, measured)
+				if err != nil {
+					return err
+				}
+				rows = append(rows, row)
+			}
+			return o.print(rows, capacityTable(rows))
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntSliceVar(&instances, "instances", []int{12, 24, 48}, "numbers of entry instances")
+	flags.IntVar(&size.Regions, "regions", 8, "regions")
+	flags.IntVar(&size.Zones, "zones", 24, "availability zones")
+	flags.IntVar(&size.Sites, "sites", 42, "sites")
+	flags.IntVar(&size.Blocks, "blocks", 1000, "client blocks")
+	flags.DurationVar(&measured, "duration", 20*time.Second, "time that each fleet is measured")
+	return cmd
+}
+
+func capacityTable(rows []capacity.Row) *table {
+	t := &table{header: []string{"INSTANCES", "BLOCKS", "CPU % OF A CORE", "HEAP MB", "SENT B/S", "RECEIVED B/S", "PLATFORM READS/S", "ROW WRITES/S", "PUBLISH IN FORCE", "REPLACEMENT READY"}}
+	for _, r := range rows {
+		t.add(strconv.Itoa(r.Instances), strconv.Itoa(r.Blocks), number(r.CPUPercent), number(r.HeapMB),
+			number(r.SentPerSecond), number(r.ReceivedPerSec), number(r.ReadsPerSecond), number(r.WritesPerSecond),
+			r.PublishInForce.Round(time.Millisecond).String(), r.ReplaceReady.Round(time.Millisecond).String())
+	}
+	return t
+}
+
+func number(f float64) string { return fmt.Sprintf("%.2f", f) }
