--- a/command/capacity.go
+++ b/command/capacity.go
@@ -38,15 +38,16 @@
 	flags.IntVar(&size.Regions, "regions", 8, "regions")
 	flags.IntVar(&size.Zones, "zones", 24, "availability zones")
 	flags.IntVar(&size.Sites, "sites", 42, "sites")
+	flags.IntVar(&size.Customers, "customers", 20, "customers, each with a fleet-wide limit")
 	flags.IntVar(&size.Blocks, "blocks", 1000, "client blocks")
 	flags.DurationVar(&measured, "duration", 20*time.Second, "time that each fleet is measured")
 	return cmd
 }
 
 func capacityTable(rows []capacity.Row) *table {
-	t := &table{header: []string{"INSTANCES", "BLOCKS", "CPU % OF A CORE", "HEAP MB", "SENT B/S", "RECEIVED B/S", "PLATFORM READS/S", "ROW WRITES/S", "PUBLISH IN FORCE", "REPLACEMENT READY"}}
+	t := &table{header: []string{"INSTANCES", "CUSTOMERS", "BLOCKS", "CPU % OF A CORE", "HEAP MB", "SENT B/S", "RECEIVED B/S", "PLATFORM READS/S", "ROW WRITES/S", "PUBLISH IN FORCE", "REPLACEMENT READY"}}
 	for _, r := range rows {
-		t.add(strconv.Itoa(r.Instances), strconv.Itoa(r.Blocks), number(r.CPUPercent), number(r.HeapMB),
+		t.add(strconv.Itoa(r.Instances), strconv.Itoa(r.Customers), strconv.Itoa(r.Blocks), number(r.CPUPercent), number(r.HeapMB),
 			number(r.SentPerSecond), number(r.ReceivedPerSec), number(r.ReadsPerSecond), number(r.WritesPerSecond),
 			r.PublishInForce.Round(time.Millisecond).String(), r.ReplaceReady.Round(time.Millisecond).String())
 	}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -28,6 +28,7 @@
 	Zones     int
 	Blocks    int // client blocks
 	Sites     int
+	Customers int
 }
 
 // Row is the measurement of one fleet.
@@ -203,7 +204,6 @@
 const (
 	services       = 4
 	serversPerZone = 2
-	customers      = 20
 )
 
 // documentOf returns a synthetic configuration.
@@ -221,7 +221,7 @@
 	for i := range services {
 		addService(doc, fmt.Sprintf("service-%d", i))
 	}
-	for i := range customers {
+	for i := range size.Customers {
 		doc.Customers = append(doc.Customers, config.Customer{Name: fmt.Sprintf("customer-%d", i), RatePerSecond: 1000, Burst: 2000})
 	}
 	for i := range size.Sites {
