shiftcap: test the shift decision, the cap and the block move plan

Cause: a traffic shift must never exceed its cap, also while cached lookup answers still steer.

Change: tables and rapid properties for the decision, the limit of a cap, the plan and its progress. The limit of a shift has three quarters of the cap as its rate and the rest as its burst, so that every window of Window and longer stays within the cap. Steps are Spread + 2 MaxAge apart.

Ruled out: steps Spread + MaxAge apart. The last followers of one step and the first of the next then fall into one max-age, which the property test shows.

Faults put in on purpose, and the tests that failed: shift without a token, fraction ignored, fractions overlap, other routes shift (TestDecide); rate equal to the cap (TestLimitKeepsCap); one max-age between steps, steps above the cap (TestPlanKeepsCapPerMaxAge); oversize block accepted (TestPlanRejects); interval not waited for, open step handed out again (TestProgressWaitsForConfirmation).

--- a/shiftcap/shiftcap.go
+++ b/shiftcap/shiftcap.go
@@ -59,6 +59,8 @@
 	Allow(name string, cost float64, now time.Time) limits.Decision
 }
 
+var _ Tokens = (*limits.Manager)(nil)
+
 // Reason says why a request was not shifted.
 type Reason string
 
--- /dev/null
+++ b/shiftcap/shiftcap_test.go
@@ -0,0 +1,171 @@
+package shiftcap
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/limits"
+)
+
+// TestMain fixes the seed of rapid, so that runs repeat. The command line may set
+// another one.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// fakeTokens admits the limits in it as often as their numbers say.
+type fakeTokens map[string]int
+
+func (f fakeTokens) Allow(name string, _ float64, _ time.Time) limits.Decision {
+	if f[name] <= 0 {
+		return limits.Decision{Reason: limits.ReasonRate}
+	}
+	f[name]--
+	return limits.Decision{Allowed: true}
+}
+
+// Guards against shifts outside the fraction, without a token or of another
+// route, and against tokens that are taken for requests that do not shift.
+func TestDecide(t *testing.T) {
+	shifts := []config.Shift{
+		{Name: "one", Route: "orders", Fraction: 0.25},
+		{Name: "two", Route: "orders", Fraction: 0.5},
+		{Name: "none", Route: "photos", Fraction: 0},
+	}
+	cases := []struct {
+		route  string
+		draw   float64
+		tokens int // of each limit
+		want   string
+		reason Reason
+		left   int // tokens of both limits of the route
+	}{
+		{"orders", 0, 1, "one", ReasonNone, 1},
+		{"orders", 0.25, 1, "two", ReasonNone, 1},
+		{"orders", 0.74, 1, "two", ReasonNone, 1},
+		{"orders", 0.75, 1, "", ReasonFraction, 2},
+		{"orders", 0.1, 0, "", ReasonCap, 0},
+		{"photos", 0, 1, "", ReasonFraction, 2},
+		{"checks", 0, 1, "", ReasonNoShift, 2},
+	}
+	for _, c := range cases {
+		tokens := fakeTokens{LimitName("one"): c.tokens, LimitName("two"): c.tokens}
+		got := Decide(shifts, c.route, c.draw, tokens, start)
+		must.Eq(t, Outcome{Shifted: c.want != "", Shift: got.Shift, Reason: c.reason}, got)
+		must.Eq(t, c.want, got.Shift.Name)
+		must.Eq(t, c.left, tokens[LimitName("one")]+tokens[LimitName("two")])
+	}
+}
+
+// Guards against a limit that lets more than the cap through in any window from
+// the stated length on, or that never admits a request.
+func TestLimitKeepsCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := config.Shift{Name: "s", CapPerSecond: rapid.Float64Range(0.01, 1e5).Draw(t, "cap")}
+		window := Window(s.CapPerSecond) * time.Duration(rapid.IntRange(1, 20).Draw(t, "windows"))
+		l := Limit(s)
+		most := l.Burst + l.RatePerSecond*window.Seconds()
+		if allowed := s.CapPerSecond * window.Seconds(); most > allowed*(1+1e-6) {
+			t.Fatalf("%g requests in %s, the cap allows %g", most, window, allowed)
+		}
+		if l.Burst < 1 {
+			t.Fatalf("burst %g admits no request", l.Burst)
+		}
+	})
+	must.Eq(t, limits.Limit{Name: "shift/off"}, Limit(config.Shift{Name: "off"}))
+}
+
+// Guards against a plan that loses or repeats a block, and against callers of more
+// than Cap that can change site within one max-age. Callers follow a step
+// anywhere between its publication and Spread + MaxAge later.
+func TestPlanKeepsCapPerMaxAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Move{From: "a", To: "b", Cap: 10, MaxAge: 5 * time.Second}
+		m.Spread = time.Duration(rapid.IntRange(0, 14).Draw(t, "spread")) * time.Second
+		for i := range rapid.IntRange(0, 30).Draw(t, "blocks") {
+			prefix := netip.MustParsePrefix(fmt.Sprintf("10.0.%d.0/24", i))
+			m.Blocks = append(m.Blocks, Block{Prefix: prefix, Weight: rapid.Float64Range(0, 10).Draw(t, "weight")})
+		}
+		steps, err := Plan(m)
+		must.NoError(t, err)
+		moved := make(map[netip.Prefix]int)
+		for i, s := range steps {
+			var weight float64
+			for _, o := range steps {
+				// The last follower of an earlier step and the first of a
+				// later one are in one window of MaxAge if the gap is shorter.
+				if o.After <= s.After && s.After-(o.After+m.Spread+m.MaxAge) < m.MaxAge {
+					weight += o.Weight
+				}
+			}
+			if weight > m.Cap {
+				t.Fatalf("step %d: weight %g within one max-age, the cap is %g", i, weight, m.Cap)
+			}
+			for _, p := range s.Blocks {
+				moved[p]++
+			}
+		}
+		for _, b := range m.Blocks {
+			if moved[b.Prefix] != 1 {
+				t.Fatalf("block %s moves %d times", b.Prefix, moved[b.Prefix])
+			}
+		}
+	})
+}
+
+// Guards against moves that cannot keep the cap and are planned all the same.
+func TestPlanRejects(t *testing.T) {
+	block := Block{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Weight: 11}
+	valid := Move{From: "a", To: "b", Cap: 10, MaxAge: time.Second, Blocks: []Block{block}}
+	_, err := Plan(valid)
+	must.Eq(t, error(&OversizeError{Prefix: block.Prefix, Weight: 11, Cap: 10}), err)
+
+	noCap, noAge, same, twice := valid, valid, valid, valid
+	noCap.Cap = 0
+	noAge.MaxAge = 0
+	same.To = "a"
+	twice.Cap = 20
+	twice.Blocks = []Block{block, block}
+	for _, m := range []Move{noCap, noAge, same, twice} {
+		_, err := Plan(m)
+		_, isMove := err.(*MoveError)
+		must.True(t, isMove, must.Sprintf("%+v: %v", m, err))
+	}
+}
+
+// Guards against a step that is published before the interval has passed since
+// the confirmation of the one before, while one is open, or twice.
+func TestProgressWaitsForConfirmation(t *testing.T) {
+	m := Move{MaxAge: 5 * time.Second, Spread: 4 * time.Second}
+	p := NewProgress(m, []Step{{Weight: 1}, {Weight: 2}})
+	due := func(after time.Duration) float64 {
+		s, _ := p.Due(start.Add(after))
+		return s.Weight
+	}
+	must.Eq(t, 1, due(0))
+	must.Eq(t, 0, due(time.Hour))
+	p.Retry()
+	must.Eq(t, 1, due(time.Hour))
+	p.Confirm(start.Add(time.Hour))
+	must.Eq(t, 0, due(time.Hour+14*time.Second-1))
+	must.Eq(t, 2, due(time.Hour+14*time.Second))
+	must.False(t, p.Finished())
+	p.Confirm(start.Add(2 * time.Hour))
+	must.True(t, p.Finished())
+	must.Eq(t, 0, due(3*time.Hour))
+}
