--- a/limits/decision.go
+++ b/limits/decision.go
@@ -21,3 +21,16 @@
 	RetryAfter time.Duration
 	Reason     Reason
 }
+
+// allow takes cost from the bucket. change is the time after which a share that
+// can never admit the cost may have grown.
+func allow(b *Bucket, cost float64, now time.Time, change time.Duration) Decision {
+	if b.Take(cost, now) {
+		return Decision{Allowed: true}
+	}
+	wait, possible := b.Wait(cost)
+	if !possible {
+		return Decision{RetryAfter: change, Reason: ReasonNoShare}
+	}
+	return Decision{RetryAfter: wait, Reason: ReasonRate}
+}
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -61,16 +61,12 @@
 func (h *Holder) Allow(cost float64, now time.Time) Decision {
 	h.demand.add(cost)
 	h.expire(now)
-	if h.bucket.Take(cost, now) {
-		return Decision{Allowed: true}
-	}
-	wait, possible := h.bucket.Wait(cost)
-	if !possible {
-		return Decision{RetryAfter: h.policy.RenewEvery, Reason: ReasonNoShare}
-	}
-	return Decision{RetryAfter: wait, Reason: ReasonRate}
+	return allow(&h.bucket, cost, now, h.policy.RenewEvery)
 }
 
+// Offer counts demand, in requests, that is decided elsewhere.
+func (h *Holder) Offer(requests float64) { h.demand.add(requests) }
+
 // Using returns the share that the holder admits from at the time now.
 func (h *Holder) Using(now time.Time) Share {
 	h.expire(now)
