Allocate the client blocks of a joined document once

Cause: joining 230,000 client blocks allocated 89 MB, against 64 MB per node at the target size.

Change: shards are decoded first, then the list is allocated at its size.

Ruled out: keeping decoded shards between generations. It would save most of the time, but hold a second copy of all blocks.

--- a/config/sections.go
+++ b/config/sections.go
@@ -147,38 +147,69 @@
 	if len(doc.ClientBlocks) > 0 {
 		return nil, &SectionError{Hash: m.Base, Err: &ValueError{Value: "client_blocks", Allowed: "client blocks in shards only"}}
 	}
+	blocks, err := joinShards(m, fetch)
+	if err != nil {
+		return nil, err
+	}
+	doc.ClientBlocks = blocks
+	return doc, nil
+}
+
+// joinShards returns the client blocks of all shards in order of address.
+func joinShards(m Manifest, fetch FetchFunc) ([]ClientBlock, error) {
+	var decoded [ShardCount]shard
+	count := 0
 	for i, h := range m.Shards {
-		if err := joinShard(doc, i, h, fetch); err != nil {
+		if h.IsZero() {
+			continue
+		}
+		var err error
+		if decoded[i], err = decodeShard(i, h, fetch); err != nil {
 			return nil, err
 		}
+		count += decoded[i].size()
 	}
-	slices.SortFunc(doc.ClientBlocks, func(a, b ClientBlock) int {
-		return comparePrefixes(a.Prefix, b.Prefix)
-	})
-	return doc, nil
+	if count == 0 {
+		return nil, nil
+	}
+	blocks := make([]ClientBlock, 0, count)
+	for _, s := range decoded {
+		for site, prefixes := range s {
+			for _, prefix := range prefixes {
+				blocks = append(blocks, ClientBlock{Prefix: prefix, Site: site})
+			}
+		}
+	}
+	slices.SortFunc(blocks, func(a, b ClientBlock) int { return comparePrefixes(a.Prefix, b.Prefix) })
+	return blocks, nil
 }
 
-func joinShard(doc *Document, index int, h Hash, fetch FetchFunc) error {
-	if h.IsZero() {
-		return nil
+// size returns the number of client blocks.
+func (s shard) size() int {
+	total := 0
+	for _, prefixes := range s {
+		total += len(prefixes)
 	}
+	return total
+}
+
+func decodeShard(index int, h Hash, fetch FetchFunc) (shard, error) {
 	data, err := fetchVerified(h, fetch)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var s shard
 	if err := json.Unmarshal(data, &s); err != nil {
-		return &SectionError{Hash: h, Err: err}
+		return nil, &SectionError{Hash: h, Err: err}
 	}
-	for site, prefixes := range s {
+	for _, prefixes := range s {
 		for _, prefix := range prefixes {
 			if ShardOf(prefix) != index {
-				return &SectionError{Hash: h, Err: &ValueError{Value: prefix.String(), Allowed: fmt.Sprintf("a block of shard %d", index)}}
+				return nil, &SectionError{Hash: h, Err: &ValueError{Value: prefix.String(), Allowed: fmt.Sprintf("a block of shard %d", index)}}
 			}
-			doc.ClientBlocks = append(doc.ClientBlocks, ClientBlock{Prefix: prefix, Site: site})
 		}
 	}
-	return nil
+	return s, nil
 }
 
 func fetchVerified(h Hash, fetch FetchFunc) ([]byte, error) {
