Answer freshness from one precomputed time

Cause: during a platform outage every request counted the instances heard, under a lock, on the request path.

Change: Freshness.AsOf computes the latest time since which the platform or a majority was heard, whenever a digest or read arrives. A request compares it with the clock.

Checked that the tests can fail: times in the wrong order, TestFresh/ zone_summary failed; half instead of more than half and no Complete check, TestComplete failed; a kept time that is too new, the property printed 'accepts withdrawn key' after 48 tests.

Conclusion: go test -race ./keys passes; no change in behavior.

--- a/keys/follower.go
+++ b/keys/follower.go
@@ -56,10 +56,8 @@
 
 	mu        sync.Mutex // guards freshness and total
 	freshness *Freshness
-	total     int // listed instances
-	// platform is the time of the newest platform state when the instance is
-	// complete, for the request path.
-	platform atomic.Pointer[time.Time]
+	total     int                       // listed instances
+	asOf      atomic.Pointer[time.Time] // Freshness.AsOf, for the request path
 }
 
 // NewFollower returns a follower without keys.
@@ -108,21 +106,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	change()
-	if f.freshness.Complete() {
-		platform := f.freshness.platform
-		f.platform.Store(&platform)
-	}
+	asOf := f.freshness.AsOf(f.total)
+	f.asOf.Store(&asOf)
 }
 
 // Fresh reports whether keys may be accepted on a route with the staleness bound.
 func (f *Follower) Fresh(bound time.Duration) bool {
-	now := f.options.Now()
-	if asOf := f.platform.Load(); asOf != nil && now.Sub(*asOf) <= bound {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.freshness.Fresh(now, bound, f.total)
+	asOf := f.asOf.Load()
+	return asOf != nil && !asOf.IsZero() && f.options.Now().Sub(*asOf) <= bound
 }
 
 // Check returns the customer of a key that may be used on the route now. It
--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -248,14 +248,62 @@
 // than half of totalInstances, the instance itself included, were heard within
 // the bound. totalInstances is the length of the last known list.
 func (f *Freshness) Fresh(now time.Time, bound time.Duration, totalInstances int) bool {
+	asOf := f.AsOf(totalInstances)
+	return !asOf.IsZero() && now.Sub(asOf) <= bound
+}
+
+// alwaysFresh is added to the start time of an instance that is more than half of
+// the list by itself, so that its data never gets old.
+const alwaysFresh = 100 * 365 * 24 * time.Hour
+
+// AsOf returns the time whose state the key data contains for the purpose of
+// Fresh, so that the request path needs no more than a comparison. It is zero when
+// the key data is not fresh under any bound.
+func (f *Freshness) AsOf(totalInstances int) time.Time {
 	if !f.complete {
-		return false
+		return time.Time{}
+	}
+	if majority := f.majority(totalInstances); majority.After(f.platform) {
+		return majority
+	}
+	return f.platform
+}
+
+// majority returns the latest time since which more than half of the instances
+// were heard.
+func (f *Freshness) majority(totalInstances int) time.Time {
+	if totalInstances <= 0 {
+		return time.Time{}
+	}
+	if 2*f.own() > totalInstances {
+		return f.boot.Add(alwaysFresh)
 	}
-	since := now.Add(-bound)
-	if !f.platform.IsZero() && !f.platform.Before(since) {
-		return true
+	times := f.times()
+	i, _ := slices.BinarySearchFunc(times, true, func(since time.Time, _ bool) int {
+		if 2*(f.count(since)+f.own()) > totalInstances {
+			return 0
+		}
+		return -1
+	})
+	if i == len(times) {
+		return time.Time{}
+	}
+	return times[i]
+}
+
+// times returns all times at which instances were heard, newest first.
+func (f *Freshness) times() []time.Time {
+	var list []time.Time
+	for _, h := range f.heard {
+		list = append(list, h.AsOf)
+	}
+	for _, zone := range f.summaries {
+		for _, s := range zone {
+			list = append(list, s.asOf)
+		}
 	}
-	return totalInstances > 0 && 2*(f.count(since)+f.own()) > totalInstances
+	slices.SortFunc(list, func(a, b time.Time) int { return b.Compare(a) })
+	return list
 }
 
 // own returns 1 if the instance is on the list.
