Let digests confirm withdrawals, test the configuration index

Cause: an operator's report needs confirmations that name the process, and AnnounceReply has no boot id. A digest has one.

Change: Digest.Holds; Follower.Withdraw returns the key generation that contains the withdrawal; the property collects confirmations from digests.

Checked that the tests can fail: a digest of the generation before the withdrawal counted as holding it, the property printed 'accepts withdrawn key' after 21 tests; generation 0 counted as on the platform, after 6 tests.

Conclusion: go test -race ./keys ./config passes.

--- a/config/sections_test.go
+++ b/config/sections_test.go
@@ -135,3 +135,33 @@
 	}
 	return fmt.Sprint(prefix, string(value))
 }
+
+// Guards against an index that misses an element, finds a link in one direction
+// only, or lets a caller change what others see.
+func TestIndex(t *testing.T) {
+	x := NewIndex(load(t, "boateng"))
+	route, ok := x.Route("cutting-booking")
+	must.True(t, ok)
+	must.Eq(t, "bookings", route.Service)
+	must.Len(t, 1, x.Shifts(route.Name))
+	route.Service = "stock"
+	route, _ = x.Route("cutting-booking")
+	must.Eq(t, "bookings", route.Service)
+	customer, ok := x.Customer("accra-boat-club")
+	must.True(t, ok && customer.Burst == 700)
+	server, ok := x.Server("bookings-02")
+	must.True(t, ok && server.Zone == "accra-b")
+	service, ok := x.Service("stock")
+	must.True(t, ok && service.HealthPath == "/healthz")
+	region, ok := x.Region("kumasi-b")
+	must.True(t, ok && region == "kumasi")
+	must.Eq(t, []string{"kumasi-a", "kumasi-b"}, x.Zones("kumasi"))
+	there, _ := x.Link("accra", "tamale")
+	back, ok := x.Link("tamale", "accra")
+	must.True(t, ok && there == back)
+	zone, ok := x.SiteZone("tamale-a-site")
+	must.True(t, ok && zone == "tamale-a")
+	_, ok = x.Route("none")
+	must.False(t, ok)
+	must.SliceEmpty(t, x.Servers("none"))
+}
--- a/keys/exchange.go
+++ b/keys/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -20,6 +21,16 @@
 	Pending       []Withdrawal
 }
 
+// Holds reports whether the sender held the withdrawal of a key when it made the
+// digest, for Tally.Confirm. generation is the key generation that contains the
+// withdrawal, or 0 when the platform is not known to have it.
+func (d Digest) Holds(keyID string, generation uint64) bool {
+	if generation > 0 && d.Generation >= generation {
+		return true
+	}
+	return slices.ContainsFunc(d.Pending, func(w Withdrawal) bool { return w.KeyID == keyID })
+}
+
 // OwnZoneCounts reports whether the summaries of a digest count the sender, that
 // is, whether the sender is complete.
 func OwnZoneCounts(zone string, summaries []ZoneSummary) bool {
--- a/keys/follower.go
+++ b/keys/follower.go
@@ -218,24 +218,24 @@
 // until a poll has read them back. It returns the errors of Store.Withdraw.
 func (f *Follower) WritePending(ctx context.Context) error {
 	for _, w := range f.set.PendingWithdrawals() {
-		if err := f.write(ctx, w); err != nil {
+		if _, err := f.write(ctx, w); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (f *Follower) write(ctx context.Context, w Withdrawal) error {
+func (f *Follower) write(ctx context.Context, w Withdrawal) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
 	defer cancel()
-	_, err := f.store.Withdraw(ctx, w)
-	return err
+	return f.store.Withdraw(ctx, w)
 }
 
 // Withdraw makes a key invalid on this instance at once and then writes the
-// withdrawal to the platform. When the write fails, the withdrawal stays pending,
-// and the error is that of Store.Withdraw.
-func (f *Follower) Withdraw(ctx context.Context, w Withdrawal) error {
+// withdrawal to the platform. It returns the key generation that contains the
+// withdrawal. When the write fails, the withdrawal stays pending, and the error is
+// that of Store.Withdraw.
+func (f *Follower) Withdraw(ctx context.Context, w Withdrawal) (uint64, error) {
 	f.set.ApplyWithdrawals([]Withdrawal{w})
 	return f.write(ctx, w)
 }
--- a/keys/property_test.go
+++ b/keys/property_test.go
@@ -147,13 +147,14 @@
 // withdrawal is a withdrawal that an operator follows.
 type withdrawal struct {
 	Withdrawal
-	tally    *Tally
-	reported bool
+	tally      *Tally
+	reported   bool
+	generation uint64 // contains the withdrawal; 0 when not known
 }
 
 // confirm asks an instance whether it holds a withdrawal.
 func (f *fleet) confirm(w *withdrawal, name string) {
-	if n := f.nodes[name]; n.Set().Withdrawn(w.KeyID) {
+	if n := f.nodes[name]; n.Digest().Holds(w.KeyID, w.generation) {
 		w.tally.Confirm(name, n.boot, f.now, f.now)
 	}
 }
@@ -203,9 +204,9 @@
 		"withdraw": func(t *rapid.T) {
 			k := m.key(t)
 			if m.withdrawals[k.ID] == nil {
-				m.withdrawals[k.ID] = &withdrawal{Withdrawal{k.ID, "change-" + k.ID}, NewTally(m.names), false}
+				m.withdrawals[k.ID] = &withdrawal{Withdrawal{k.ID, "change-" + k.ID}, NewTally(m.names), false, 0}
 			}
-			_ = m.nodes[m.name(t)].Withdraw(ctx, m.withdrawals[k.ID].Withdrawal)
+			_, _ = m.nodes[m.name(t)].Withdraw(ctx, m.withdrawals[k.ID].Withdrawal)
 		},
 		"announce": func(t *rapid.T) {
 			w, n := m.followed(t), m.name(t)
@@ -215,7 +216,7 @@
 		"withdraw and follow": func(t *rapid.T) {
 			k, origin := m.key(t), m.name(t)
 			if m.withdrawals[k.ID] == nil {
-				m.withdrawals[k.ID] = &withdrawal{Withdrawal{k.ID, "change-" + k.ID}, NewTally(m.names), false}
+				m.withdrawals[k.ID] = &withdrawal{Withdrawal{k.ID, "change-" + k.ID}, NewTally(m.names), false, 0}
 			}
 			m.follow(m.withdrawals[k.ID], origin)
 		},
@@ -259,6 +260,8 @@
 			must.NoError(t, err)
 			if r.Withdrawn {
 				w.tally.Platform(m.now)
+				w.generation, err = NewStore(m.store).Generation(ctx)
+				must.NoError(t, err)
 			}
 		},
 		"poll": func(t *rapid.T) { _ = m.nodes[m.name(t)].Poll(ctx) },
@@ -316,9 +319,9 @@
 
 // follow withdraws a key at one instance and asks all that it reaches, twice.
 func (f *fleet) follow(w *withdrawal, origin string) {
-	_ = f.nodes[origin].Withdraw(context.Background(), w.Withdrawal)
-	if r, _, err := NewStore(f.nodes[origin].table).record(context.Background(), w.KeyID); err == nil && r.Withdrawn {
+	if generation, err := f.nodes[origin].Withdraw(context.Background(), w.Withdrawal); err == nil {
 		w.tally.Platform(f.now)
+		w.generation = generation
 	}
 	for range 2 {
 		for _, name := range f.names {
--- a/keys/scenario_test.go
+++ b/keys/scenario_test.go
@@ -26,7 +26,7 @@
 }
 
 func withdrawalOf(k Key, f *fleet) *withdrawal {
-	return &withdrawal{Withdrawal{k.ID, "change"}, NewTally(f.names), false}
+	return &withdrawal{Withdrawal{k.ID, "change"}, NewTally(f.names), false, 0}
 }
 
 // live lets time pass with digests once a second.
