--- a/keys/follower.go
+++ b/keys/follower.go
@@ -56,10 +56,8 @@
 
 	mu        sync.Mutex // guards freshness and total
 	freshness *Freshness
-	total     int // listed instances
-	// platform is the time of the newest platform state when the instance is
-	// complete, for the request path.
-	platform atomic.Pointer[time.Time]
+	total     int                       // listed instances
+	asOf      atomic.Pointer[time.Time] // Freshness.AsOf, for the request path
 }
 
 // NewFollower returns a follower without keys.
@@ -108,21 +106,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	change()
-	if f.freshness.Complete() {
-		platform := f.freshness.platform
-		f.platform.Store(&platform)
-	}
+	asOf := f.freshness.AsOf(f.total)
+	f.asOf.Store(&asOf)
 }
 
 // Fresh reports whether keys may be accepted on a route with the staleness bound.
 func (f *Follower) Fresh(bound time.Duration) bool {
-	now := f.options.Now()
-	if asOf := f.platform.Load(); asOf != nil && now.Sub(*asOf) <= bound {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.freshness.Fresh(now, bound, f.total)
+	asOf := f.asOf.Load()
+	return asOf != nil && !asOf.IsZero() && f.options.Now().Sub(*asOf) <= bound
 }
 
 // Check returns the customer of a key that may be used on the route now. It
@@ -227,24 +218,24 @@
 // until a poll has read them back. It returns the errors of Store.Withdraw.
 func (f *Follower) WritePending(ctx context.Context) error {
 	for _, w := range f.set.PendingWithdrawals() {
-		if err := f.write(ctx, w); err != nil {
+		if _, err := f.write(ctx, w); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (f *Follower) write(ctx context.Context, w Withdrawal) error {
+func (f *Follower) write(ctx context.Context, w Withdrawal) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
 	defer cancel()
-	_, err := f.store.Withdraw(ctx, w)
-	return err
+	return f.store.Withdraw(ctx, w)
 }
 
 // Withdraw makes a key invalid on this instance at once and then writes the
-// withdrawal to the platform. When the write fails, the withdrawal stays pending,
-// and the error is that of Store.Withdraw.
-func (f *Follower) Withdraw(ctx context.Context, w Withdrawal) error {
+// withdrawal to the platform. It returns the key generation that contains the
+// withdrawal. When the write fails, the withdrawal stays pending, and the error is
+// that of Store.Withdraw.
+func (f *Follower) Withdraw(ctx context.Context, w Withdrawal) (uint64, error) {
 	f.set.ApplyWithdrawals([]Withdrawal{w})
 	return f.write(ctx, w)
 }
