bench: read plans from JSON

Cause: the bench command needs plans from files, with misspelled fields refused.

Change: ReadPlan decodes strictly and validates.

Broken on purpose, seen to fail and restored: unknown fields accepted, TestPlanIsChecked "durration" is missing from the error.

--- a/bench/plan.go
+++ b/bench/plan.go
@@ -9,7 +9,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -170,6 +172,18 @@
 	return p
 }
 
+// ReadPlan reads a plan from JSON and validates it. Unknown fields are errors. It
+// returns *PlanError for a plan that cannot be run.
+func ReadPlan(r io.Reader) (Plan, error) {
+	var p Plan
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&p); err != nil {
+		return p, &PlanError{Problems: []string{err.Error()}}
+	}
+	return p, p.Validate()
+}
+
 // PlanError reports everything that is wrong with a plan.
 type PlanError struct{ Problems []string }
 
--- a/bench/pure_test.go
+++ b/bench/pure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"flag"
 	"net/netip"
@@ -193,7 +194,7 @@
 }
 
 // Guards against plans that fail only in the middle of a run, and against a
-// report of the first mistake only.
+// report of the first mistake only, and against misspelled fields.
 func TestPlanIsChecked(t *testing.T) {
 	must.NoError(t, testPlan().Validate())
 	p := testPlan()
@@ -210,4 +211,12 @@
 	must.SliceLen(t, 8, failed.Problems)
 	_, err := Run(t.Context(), p)
 	must.True(t, errors.As(err, &failed))
+	data, err := json.Marshal(testPlan())
+	must.NoError(t, err)
+	read, err := ReadPlan(bytes.NewReader(data))
+	must.NoError(t, err)
+	must.Eq(t, testPlan(), read)
+	_, err = ReadPlan(strings.NewReader(`{"durration":"1s"}`))
+	must.True(t, errors.As(err, &failed))
+	must.StrContains(t, err.Error(), "durration")
 }
