--- a/entry/withdraw.go
+++ b/entry/withdraw.go
@@ -34,7 +34,10 @@
 	o.entry.log.Info("key withdrawn", "key_id", withdrawal.KeyID, "change", withdrawal.ChangeID)
 	// The other instances must not wait for a platform that is slow or down.
 	recorded := make(chan error, 1)
-	go func() { recorded <- o.entry.keys.Withdraw(context.WithoutCancel(ctx), withdrawal) }()
+	go func() {
+		_, err := o.entry.keys.Withdraw(context.WithoutCancel(ctx), withdrawal)
+		recorded <- err
+	}()
 	tally := o.collect(ctx, withdrawal, recorded)
 	return o.report(ctx, withdrawal, tally), nil
 }
