Mark refusals of entry instances with a header

Cause: a backend server could answer with a problem document of ours that says 'not run', and a caller would send non-idempotent work again.

Change: refusals carry Jacinthrack-Refused, which is removed, with every other Jacinthrack header, from responses of backend servers. Package caller trusts the header and no longer the type's prefix.

Seen to fail: with the headers kept, TestForgedRefusalIsNotMarked finds the mark.

--- a/caller/request.go
+++ b/caller/request.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/lookup"
@@ -180,15 +179,15 @@
 	return &outcome{ran: problem.RanUnknown, err: &TransportError{Instance: instance, Sent: true, Err: err}}
 }
 
-// parseProblem returns the problem document of an answer. The type prefix tells
-// ours from one that a backend server sent.
+// parseProblem returns the problem document of an entry instance. Documents of
+// backend servers are not marked as refusals.
 func parseProblem(resp *http.Response, body []byte) (*problem.Document, bool) {
 	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	if err != nil || media != problem.ContentType {
+	if err != nil || media != problem.ContentType || resp.Header.Get(problem.HeaderRefused) == "" {
 		return nil, false
 	}
 	var p problem.Document
-	if json.Unmarshal(body, &p) != nil || !strings.HasPrefix(string(p.Type), typePrefix) {
+	if json.Unmarshal(body, &p) != nil {
 		return nil, false
 	}
 	if p.Ran != problem.RanNo {
@@ -200,6 +199,3 @@
 	}
 	return &p, true
 }
-
-// typePrefix starts every problem type of an entry instance.
-const typePrefix = "urn:jacinthrack:problem:"
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -142,6 +142,17 @@
 	}
 }
 
+// Guards against a backend server whose response passes for a refusal that says
+// "not run".
+func TestForgedRefusalIsNotMarked(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+		problem.New(problem.TypeDraining, http.StatusConflict, problem.RanNo, "forged").Write(w)
+	})
+	resp, _ := do(t, r.request(t, "GET", "/r/check/x", ""))
+	must.Eq(t, http.StatusConflict, resp.StatusCode)
+	must.Eq(t, "", resp.Header.Get(problem.HeaderRefused))
+}
+
 // Guards against retries beyond the budget.
 func TestRetryBudgetIsObeyed(t *testing.T) {
 	r := newRig(t, reset, answer("whole"))
--- a/forward/header.go
+++ b/forward/header.go
@@ -45,10 +45,17 @@
 	return out
 }
 
+// ownHeaderPrefix starts the headers that only entry instances send to callers.
+const ownHeaderPrefix = "Jacinthrack-"
+
 // callerHeader returns the headers of a backend server's response for the caller.
 func callerHeader(in http.Header) http.Header {
 	out := in.Clone()
 	removeHopHeaders(out)
-	out.Del(HeaderRequestID)
+	for name := range out {
+		if strings.HasPrefix(name, ownHeaderPrefix) {
+			out.Del(name)
+		}
+	}
 	return out
 }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -14,6 +14,11 @@
 // ContentType is the media type of a problem document.
 const ContentType = "application/problem+json"
 
+// HeaderRefused marks a problem document of an entry instance. It is removed from
+// the responses of backend servers, which could otherwise pass off their own
+// documents as refusals.
+const HeaderRefused = "Jacinthrack-Refused"
+
 // Ran says whether the request may have run on a backend server.
 type Ran string
 
@@ -101,6 +106,7 @@
 	header := w.Header()
 	header.Set("Content-Type", ContentType)
 	header.Set("Cache-Control", "no-store")
+	header.Set(HeaderRefused, "true")
 	if d.RetryAfter > 0 {
 		seconds := int(math.Ceil(d.RetryAfter.Seconds()))
 		header.Set("Retry-After", strconv.Itoa(seconds))
