forward: pace transfers between regions by the link budget

Cause: headroom admits a transfer to another region, and its bytes were never charged to the link.

Change: bodies and responses to and from servers of another region are read through the budget, which answers with the wait before the next piece.

Ruled out: charging the declared length at once, which holds a link for slow uploads that use little of it.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -112,7 +112,20 @@
 	b.logPlacement(call, d)
 	server := s.servers[d.Server]
 	ticket := &ticket{balancer: b, state: s, call: call, decision: d}
-	return &forward.Pick{Server: &server, Reason: d.Why.String(), Done: ticket.done}
+	pick := &forward.Pick{Server: &server, Reason: d.Why.String(), Done: ticket.done}
+	if d.Region != s.region {
+		pick.Charge = func(upload bool, bytes int) time.Duration {
+			return s.links.Charge(d.Region, direction(upload), int64(bytes), time.Now())
+		}
+	}
+	return pick
+}
+
+func direction(upload bool) headroom.Direction {
+	if upload {
+		return headroom.Outbound
+	}
+	return headroom.Inbound
 }
 
 // place chooses a server and reserves everything that the attempt needs.
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -38,6 +38,7 @@
 	claimError *problem.Document
 	lapsed     error // returned by MarkSent
 	crashes    bool  // returned by Done
+	charge     func(bool, int) time.Duration
 }
 
 func (f *fakeServices) Authorize(presented string, route *config.Route) (string, *problem.Document) {
@@ -64,7 +65,7 @@
 	if call.Attempt >= len(f.servers) {
 		return nil, problem.New(problem.TypeNoServer, http.StatusServiceUnavailable, problem.RanNo, "no server")
 	}
-	return &Pick{Server: f.servers[call.Attempt], Done: f.record}, nil
+	return &Pick{Server: f.servers[call.Attempt], Done: f.record, Charge: f.charge}, nil
 }
 
 func (f *fakeServices) record(r Result) bool {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -93,6 +93,9 @@
 	// Done must be called once with the result of the attempt. It reports
 	// whether the request is suspected of crashing servers.
 	Done func(Result) (crashes bool)
+	// Charge takes bytes that flow to (upload) or from a server of another region
+	// and returns the wait before the next piece. It is nil within the region.
+	Charge func(upload bool, bytes int) time.Duration
 }
 
 // Balancer picks backend servers.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
@@ -283,3 +284,25 @@
 	must.StrContains(t, log.String(), "key-invalid")
 	must.StrNotContains(t, log.String(), testKey)
 }
+
+// Guards against transfers between regions that are not counted against the link.
+func TestTransfersAreCharged(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		_, _ = w.Write(body)
+	})
+	var up, down atomic.Int64
+	r.charge = func(upload bool, bytes int) time.Duration {
+		if upload {
+			up.Add(int64(bytes))
+		} else {
+			down.Add(int64(bytes))
+		}
+		return time.Millisecond
+	}
+	size := 3 * BufferBytes
+	_, body := do(t, r.request(t, "PUT", "/r/check/x", strings.Repeat("x", size)))
+	must.Eq(t, size, len(body))
+	must.Eq(t, int64(size), up.Load())
+	must.Eq(t, int64(size), down.Load())
+}
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -38,7 +38,7 @@
 		r.finish(nil)
 		return writeErr
 	}
-	src := &sourceReader{src: r.resp.Body}
+	src := &sourceReader{src: r.body}
 	buf := make([]byte, BufferBytes)
 	// The wrapper hides io.ReaderFrom, which would bypass the buffer.
 	_, err := io.CopyBuffer(struct{ io.Writer }{w}, src, buf)
--- a/forward/try.go
+++ b/forward/try.go
@@ -27,6 +27,7 @@
 type reply struct {
 	server string
 	resp   *http.Response
+	body   io.Reader // of resp, paced
 	held   []byte
 	whole  bool // held is the entire body
 	// finish ends the attempt and reports what Pick.Done does.
@@ -69,7 +70,7 @@
 		method:     r.Method,
 		path:       x.path,
 		header:     backendHeader(r.Header, x.id),
-		body:       x.body.reader(),
+		body:       paced(ctx, x.body.reader(), pick, true),
 		length:     x.body.length,
 		idempotent: x.route.Idempotent,
 		requestID:  x.id,
@@ -83,7 +84,7 @@
 		return nil, f
 	}
 	headerAfter := time.Since(started)
-	rep := &reply{server: pick.Server.Name, resp: resp}
+	rep := &reply{server: pick.Server.Name, resp: resp, body: paced(ctx, resp.Body, pick, false)}
 	rep.finish = func(err error) bool {
 		resp.Body.Close()
 		return pick.Done(Result{Sent: true, Status: resp.StatusCode, Err: err, Close: resp.Close, Latency: headerAfter})
@@ -180,7 +181,7 @@
 // is found before the caller sees any of it.
 func (r *reply) hold() error {
 	var buf bytes.Buffer
-	_, err := io.CopyN(&buf, r.resp.Body, BufferBytes)
+	_, err := io.CopyN(&buf, r.body, BufferBytes)
 	r.held = buf.Bytes()
 	if err == io.EOF {
 		r.whole = true
@@ -201,7 +202,7 @@
 	if r.whole {
 		return r.held, nil
 	}
-	rest, err := io.ReadAll(io.LimitReader(r.resp.Body, limit-int64(len(r.held))+1))
+	rest, err := io.ReadAll(io.LimitReader(r.body, limit-int64(len(r.held))+1))
 	if err == nil && int64(len(r.held)+len(rest)) > limit {
 		err = &ResponseTooLargeError{Max: limit}
 	}
