--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,230 @@
+package balancer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/forward"
+	"github.com/jacinthrack/jacinthrack/limits"
+	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+	"github.com/jacinthrack/jacinthrack/problem"
+	"github.com/jacinthrack/jacinthrack/quarantine"
+	"github.com/jacinthrack/jacinthrack/selector"
+	"github.com/jacinthrack/jacinthrack/serverstate"
+)
+
+// tokens admits a number of shifted requests.
+type tokens struct{ left int }
+
+func (t *tokens) Allow(string, float64, time.Time) limits.Decision {
+	t.left--
+	return limits.Decision{Allowed: t.left >= 0}
+}
+
+var testZones = []config.Zone{
+	{Name: "north-a", Region: "north"},
+	{Name: "north-b", Region: "north"},
+	{Name: "south-a", Region: "south"},
+}
+
+// testIndex has two servers for each zone, labelled old and new.
+func testIndex(t *testing.T, shifts ...config.Shift) *config.Index {
+	t.Helper()
+	doc := &config.Document{
+		Regions:  []config.Region{{Name: "north"}, {Name: "south"}},
+		Zones:    testZones,
+		Links:    []config.Link{{From: "north", To: "south", BitsPerSecond: 4e9}},
+		Services: []config.Service{{Name: "stock"}},
+		Routes:   []config.Route{{Name: "check", Service: "stock"}},
+		Shifts:   shifts,
+	}
+	for _, zone := range testZones {
+		for _, tier := range []string{"old", "new"} {
+			doc.BackendServers = append(doc.BackendServers, config.BackendServer{
+				Name: zone.Name + "-" + tier, Service: "stock", Zone: zone.Name, Address: "127.0.0.1:1",
+				Slots: 10, Connections: 100, Labels: selector.Labels{"tier": tier},
+			})
+		}
+	}
+	return config.NewIndex(doc)
+}
+
+func newTestBalancer(t *testing.T, name, zone string, index *config.Index, admitted *tokens) *Balancer {
+	t.Helper()
+	b := New(Options{
+		Name: name,
+		Zone: zone,
+		Members: func() []Member {
+			return []Member{{Name: "n1", Zone: "north-a"}, {Name: "s1", Zone: "south-a"}}
+		},
+		OnSuspects: func() {},
+		Tokens:     admitted,
+		Registry:   prometheus.NewRegistry(),
+		Log:        slog.New(slog.DiscardHandler),
+	})
+	b.SetConfig(index, time.Now())
+	return b
+}
+
+func pick(b *Balancer, fingerprint uint64) (*forward.Pick, *problem.Document) {
+	route, _ := b.current().index.Route("check")
+	return b.Pick(context.Background(), forward.Call{RequestID: "r", Route: &route, Fingerprint: fingerprint})
+}
+
+func mustSelector(t *testing.T, text string) selector.Selector {
+	t.Helper()
+	s, err := selector.Parse(text)
+	must.NoError(t, err)
+	return s
+}
+
+// Guards against a shift that moves more than its tokens allow, or that leaves the
+// other requests spread over old and new servers.
+func TestShiftStaysWithinItsTokens(t *testing.T) {
+	shift := config.Shift{
+		Name: "to-new", Route: "check", Fraction: 1, CapPerSecond: 3,
+		From: mustSelector(t, "tier=old"), To: mustSelector(t, "tier=new"),
+	}
+	b := newTestBalancer(t, "n1", "north-a", testIndex(t, shift), &tokens{left: 3})
+	shifted := 0
+	for i := range 12 {
+		p, refusal := pick(b, uint64(i)<<40)
+		must.Nil(t, refusal)
+		if p.Server.Labels["tier"] == "new" {
+			shifted++
+		}
+	}
+	must.Eq(t, 3, shifted)
+}
+
+// Guards against attempts that are counted twice or for ever.
+func TestCountsReturnToZero(t *testing.T) {
+	b := newTestBalancer(t, "n1", "north-a", testIndex(t), &tokens{})
+	var picks []*forward.Pick
+	for {
+		p, refusal := pick(b, uint64(len(picks)))
+		if refusal != nil {
+			must.Eq(t, problem.RanNo, refusal.Ran)
+			must.Eq(t, problem.TypeOverloaded, refusal.Type)
+			break
+		}
+		picks = append(picks, p)
+	}
+	// The instance is alone in its region: at most 9 of 10 slots at 4 servers.
+	must.LessEq(t, 36, len(picks))
+	must.Positive(t, len(picks))
+	for _, p := range picks {
+		must.False(t, p.Done(forward.Result{Sent: true, Status: http.StatusOK}))
+	}
+	for _, s := range b.Status(time.Now()) {
+		must.Eq(t, 0, s.InUse, must.Sprintf("server %s", s.Server))
+	}
+}
+
+// Guards against results that count as evidence for the wrong thing.
+func TestObservation(t *testing.T) {
+	broken := io.ErrUnexpectedEOF
+	cases := []struct {
+		name   string
+		result forward.Result
+		want   serverstate.Kind // 0 for no evidence
+	}{
+		{"refused", forward.Result{Err: broken}, serverstate.KindRefused},
+		{"reset", forward.Result{Sent: true, Err: broken}, serverstate.KindReset},
+		{"truncated", forward.Result{Sent: true, Status: 200, Err: broken}, serverstate.KindReset},
+		{"shed", forward.Result{Sent: true, Status: 503}, serverstate.KindShed},
+		{"too many requests", forward.Result{Sent: true, Status: 429}, serverstate.KindShed},
+		{"server error", forward.Result{Sent: true, Status: 500}, serverstate.KindServerError},
+		{"not found", forward.Result{Sent: true, Status: 404}, serverstate.KindSuccess},
+		{"caller gone", forward.Result{Sent: true}, 0},
+		{"not started", forward.Result{}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			event, ok := observation("s", c.result, time.Now())
+			must.Eq(t, c.want != 0, ok)
+			if ok {
+				must.Eq(t, c.want, event.Kind)
+			}
+		})
+	}
+}
+
+// Guards against a spill without a grant, and against grants that never arrive.
+func TestSpillNeedsAGrant(t *testing.T) {
+	index := testIndex(t)
+	north := newTestBalancer(t, "n1", "north-a", index, &tokens{})
+	south := newTestBalancer(t, "s1", "south-a", index, &tokens{})
+	now := time.Now()
+	for _, zone := range testZones[:2] {
+		for _, tier := range []string{"old", "new"} {
+			north.observe(serverstate.Event{Server: zone.Name + "-" + tier, Kind: serverstate.KindPeer, At: now, Peer: serverstate.Draining})
+		}
+	}
+	_, refusal := pick(north, 1)
+	must.NotNil(t, refusal)
+	must.Eq(t, problem.RanNo, refusal.Ran)
+
+	south.MergeWants("n1", []*peerpb.Want{{Service: "stock", Requests: 2}}, now)
+	north.MergeGrants("s1", "south-a", south.Grants("n1", now), 0, now)
+	for i := range 3 {
+		p, refusal := pick(north, uint64(i))
+		if i == 2 {
+			must.NotNil(t, refusal)
+			break
+		}
+		must.Nil(t, refusal)
+		must.Eq(t, "south-a", p.Server.Zone)
+		must.NotNil(t, p.Charge)
+	}
+}
+
+// Guards against innocent requests that are counted as the cause of a server's
+// death, and against deaths that are counted twice.
+func TestDeathIsCountedOnce(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, closed.Close())
+	index := testIndex(t)
+	for i := range index.Document().BackendServers {
+		index.Document().BackendServers[i].Address = closed.Addr().String()
+	}
+	b := newTestBalancer(t, "n1", "north-a", index, &tokens{})
+	first, refusal := pick(b, 1)
+	must.Nil(t, refusal)
+	result := forward.Result{Sent: true, Err: io.ErrUnexpectedEOF}
+	must.False(t, first.Done(result))
+	must.Eq(t, 1, b.quarantine.Deaths(quarantine.Fingerprint(1), time.Now()))
+	shared := b.Quarantined(time.Now())
+	must.Len(t, 1, shared)
+	for range 2 {
+		b.MergeQuarantined(shared, 0, time.Now())
+	}
+	must.Eq(t, 1, b.quarantine.Deaths(quarantine.Fingerprint(1), time.Now()))
+}
+
+// Guards against servers of a removed configuration that still get work, and
+// against counts that a new configuration loses.
+func TestConfigurationChange(t *testing.T) {
+	b := newTestBalancer(t, "n1", "north-a", testIndex(t), &tokens{})
+	p, refusal := pick(b, 1)
+	must.Nil(t, refusal)
+	index := testIndex(t)
+	doc := index.Document()
+	doc.BackendServers = doc.BackendServers[:1]
+	b.SetConfig(config.NewIndex(doc), time.Now())
+	status := b.Status(time.Now())
+	must.Len(t, 1, status)
+	must.Eq(t, doc.BackendServers[0].Name, status[0].Server)
+	p.Done(forward.Result{Sent: true, Status: http.StatusOK})
+	must.Eq(t, 0, b.Status(time.Now())[0].InUse)
+}
