limits: step early when a burst meets a free part of the ledger

Cause: a burst at one instance waited up to 1.2 s for the next step, although half of the limit was free.

Change: a refusal requests a step if the last row had a free part of at least 5% of the rate and a write is allowed. Run follows after 100 ms; the gap between writes stays 1 s, and at most one request per gap and limit is made.

Faults put in on purpose: no step requested, and a step requested although nothing is free, both failed TestBurstRequestsStep.

--- a/limits/holder.go
+++ b/limits/holder.go
@@ -22,6 +22,7 @@
 	known   bool // a row, or its absence, was read
 	row     Ledger
 	version int64
+	free    bool // the row has a part worth a lease that nobody holds
 	seen    observations
 
 	own        Entry // as confirmed by the table
@@ -30,6 +31,7 @@
 	leaseUntil time.Time
 	floorUntil time.Time
 	lastWrite  time.Time
+	lastUrgent time.Time
 	closed     bool
 
 	using  Entry // floor and lease that the bucket has now
@@ -64,6 +66,18 @@
 	return allow(&h.bucket, cost, now, h.policy.RenewEvery)
 }
 
+// Urgent reports whether the next step should not wait: a request was refused at
+// the time now, the ledger has a free part, and a write is allowed. It reports
+// this at most once per MinWriteGap.
+func (h *Holder) Urgent(now time.Time) bool {
+	gap := h.policy.MinWriteGap
+	if h.closed || now.Sub(h.lastWrite) < gap || now.Sub(h.lastUrgent) < gap || !h.free {
+		return false
+	}
+	h.lastUrgent = now
+	return true
+}
+
 // Offer counts demand, in requests, that is decided elsewhere.
 func (h *Holder) Offer(requests float64) { h.demand.add(requests) }
 
@@ -120,6 +134,7 @@
 	h.known = true
 	h.row = row
 	h.version = version
+	h.free = row.Free().Rate > row.Limit.Rate.scale(AmountOf(leaseStep), One)
 	h.seen.update(row, h.id, now)
 	h.reconcile(now)
 }
--- a/limits/manager.go
+++ b/limits/manager.go
@@ -81,11 +81,12 @@
 	set   sync.Mutex                       // serializes SetLimits and Release
 	steps sync.Mutex                       // serializes Step and Release
 	gen   int64
+	kick  chan struct{} // asks for a step before the next regular one
 }
 
 // NewManager returns a manager without limits.
 func NewManager(o Options) *Manager {
-	m := &Manager{opts: o.withDefaults()}
+	m := &Manager{opts: o.withDefaults(), kick: make(chan struct{}, 1)}
 	m.slots.Store(&map[string]*slot{})
 	return m
 }
@@ -147,9 +148,24 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holder.Allow(cost, now)
+	d := s.holder.Allow(cost, now)
+	if !d.Allowed && s.holder.Urgent(now) {
+		m.requestStep()
+	}
+	return d
+}
+
+func (m *Manager) requestStep() {
+	select {
+	case m.kick <- struct{}{}:
+	default: // one is requested already
+	}
 }
 
+// StepRequested is signaled when a step before the next regular one would help:
+// a burst meets a limit that has a free part. Run follows it.
+func (m *Manager) StepRequested() <-chan struct{} { return m.kick }
+
 // Shares returns the share in use of each limit.
 func (m *Manager) Shares(now time.Time) map[string]Share {
 	shares := make(map[string]Share)
@@ -169,12 +185,32 @@
 			m.opts.OnError(err)
 		}
 		jitter := 0.8 + 0.4*m.opts.Rand.Float64()
-		timer := time.NewTimer(time.Duration(float64(m.opts.Every) * jitter))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
+		if err := m.pause(ctx, time.Duration(float64(m.opts.Every)*jitter)); err != nil {
+			return err
 		}
 	}
 }
+
+// RequestDelay is the shortest time between two steps. It bounds the reads that
+// requested steps cause, and lets the first requests of a burst be counted.
+const RequestDelay = 100 * time.Millisecond
+
+// pause waits for d, or for RequestDelay once a step is requested.
+func (m *Manager) pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	case <-m.kick:
+	}
+	timer.Reset(min(d, RequestDelay))
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/limits/manager_test.go
+++ b/limits/manager_test.go
@@ -129,6 +129,27 @@
 	})
 }
 
+// Guards against a burst that waits for the next regular step although the ledger
+// has a free part, and against requested steps when it has none.
+func TestBurstRequestsStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, Limit{Name: testLimit, RatePerSecond: 100, Burst: 100}, nil)
+		c.run(30*time.Second, time.Hour)
+		c.run(700*time.Millisecond, 2*time.Millisecond, time.Hour)
+		must.Greater(t, AmountOf(50), c.managers[0].Shares(time.Now())[testLimit].Rate)
+		c.run(5*time.Second, 2*time.Millisecond, time.Hour)
+		time.Sleep(2 * time.Second)
+		for range 1000 {
+			c.managers[0].Allow(testLimit, 1, time.Now())
+		}
+		select {
+		case <-c.managers[0].StepRequested():
+			t.Error("a step is requested although nothing is free")
+		default:
+		}
+	})
+}
+
 // Guards against shares that stay lost after a graceful stop, and against a
 // stopped process that still admits.
 func TestReleaseFreesShares(t *testing.T) {
--- a/limits/splitcompare/run.go
+++ b/limits/splitcompare/run.go
@@ -117,6 +117,7 @@
 	now := r.clock()
 	exact := r.exact.Take(1, now)
 	admitted := r.managers[a.instance].Allow(customer, 1, now).Allowed
+	r.followRequest(a.instance)
 	// The allowance covers the rounding of the two buckets.
 	over := admitted && !r.guard.Take(1-1e-9, now)
 	if over {
@@ -127,6 +128,15 @@
 	}
 }
 
+// followRequest moves a requested step forward, as limits.Manager.Run does.
+func (r *run) followRequest(i int) {
+	select {
+	case <-r.managers[i].StepRequested():
+		r.nextStep[i] = min(r.nextStep[i], r.now+limits.RequestDelay)
+	default:
+	}
+}
+
 func (r *run) count(a arrival, exact, admitted bool) {
 	res := &r.result
 	res.Offered++
