--- a/identity/holder.go
+++ b/identity/holder.go
@@ -101,14 +101,15 @@
 	return h.exclusiveFrom
 }
 
-// Register writes the registration with a new fencing token. It returns the
-// errors of the table, *SupersededError when this process was registered and a
+// Register writes the registration with a new fencing token, or renews it when
+// the process is registered. It returns the errors of the table, *SupersededError when this process was registered and a
 // newer one exists, and *ContentionError.
 func (h *Holder) Register(ctx context.Context) error { return h.write(ctx, StateServing) }
 
 // Renew confirms the registration in the table; it registers when the process is
-// not registered yet or its row was pruned. Errors are those of Register.
-func (h *Holder) Renew(ctx context.Context) error { return h.write(ctx, h.Registration().State) }
+// not registered yet or its row was pruned. Errors are those of Register, and
+// *NotRegisteredError after Deregister.
+func (h *Holder) Renew(ctx context.Context) error { return h.write(ctx, sameState) }
 
 // Drain announces that the instance takes no new work. When it fails, the next
 // renewal carries the announcement. Errors are those of Register.
@@ -118,12 +119,16 @@
 // token. Errors are those of Register.
 func (h *Holder) Deregister(ctx context.Context) error { return h.write(ctx, StateLeft) }
 
+// sameState makes write keep the state, so that a renewal never takes back a
+// Drain that runs at the same time.
+const sameState State = ""
+
 // write brings the row to the wanted state.
 func (h *Holder) write(ctx context.Context, state State) error {
 	h.writing.Lock()
 	defer h.writing.Unlock()
-	if !h.setState(state) {
-		return nil
+	if needed, err := h.setState(state); !needed {
+		return err
 	}
 	for range maxWriteAttempts {
 		done, err := h.writeOnce(ctx)
@@ -135,18 +140,24 @@
 }
 
 // setState prepares the next write. It returns false when there is nothing to
-// write, because a process that was never registered leaves.
-func (h *Holder) setState(state State) bool {
+// write: for a renewal after Deregister, with *NotRegisteredError, and for a
+// process that leaves without having been registered.
+func (h *Holder) setState(state State) (needed bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.reg.Token == 0 && state == StateLeft {
-		return false
-	}
-	if h.reg.State == StateLeft && state != StateLeft {
+	left := h.reg.State == StateLeft
+	switch {
+	case state == sameState && left:
+		return false, &NotRegisteredError{Name: h.reg.Name}
+	case state == sameState:
+		return true, nil
+	case state == StateLeft && h.reg.Token == 0:
+		return false, nil
+	case left && state != StateLeft:
 		h.forgetToken()
 	}
 	h.reg.State = state
-	return true
+	return true, nil
 }
 
 // forgetToken makes the next write a new registration. It is called with the
@@ -170,7 +181,7 @@
 		h.found(row)
 	}
 	started := time.Now()
-	next, version, changeID := h.next(started)
+	next, version, changeID := h.next(started, h.config.Fleet().Lease())
 	write := platform.Write{Key: RowKey(next.Name), Value: next.Encode(), IfVersion: version}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -195,7 +206,7 @@
 }
 
 // next returns the row of the next write, its condition and its change id.
-func (h *Holder) next(started time.Time) (Registration, int64, string) {
+func (h *Holder) next(started time.Time, lease time.Duration) (Registration, int64, string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := h.reg
@@ -203,7 +214,7 @@
 		next.Token = nextToken(h.previous.Token, started)
 	}
 	next.Renewal++
-	next.LeaseMS = h.config.Fleet().Lease().Milliseconds()
+	next.LeaseMS = lease.Milliseconds()
 	next.WrittenAt = started.Unix()
 	h.changeNo++
 	changeID := fmt.Sprintf("%s-%x-reg-%d", next.Name, next.BootID, h.changeNo)
@@ -263,6 +274,9 @@
 		h.forgetToken()
 	case row.Version != 0 && err == nil && current.BootID == h.reg.BootID && current.State != StateLeft:
 		// A write of this process arrived after its reply was lost.
+		if !registered {
+			h.exclusiveFrom = exclusiveFrom(h.previous, time.Now())
+		}
 		h.reg.Token = current.Token
 		h.reg.Renewal = max(h.reg.Renewal, current.Renewal)
 	case row.Version != 0 && registered && current.BootID != h.reg.BootID:
--- a/identity/run.go
+++ b/identity/run.go
@@ -14,9 +14,9 @@
 // tries fit into the shortest renewal interval.
 const retryInterval = 1500 * time.Millisecond
 
-// Run registers and renews until ctx ends or a newer registration exists. It
-// returns nil when ctx ended, and *SupersededError otherwise. A platform that is
-// down does not end it. Deregister is the caller's step after Run.
+// Run registers and renews until ctx ends, Deregister is called or a newer
+// registration exists. It returns *SupersededError in the last case and nil
+// otherwise. A platform that is down does not end it.
 func (h *Holder) Run(ctx context.Context, logger *slog.Logger) error {
 	for {
 		err := h.Renew(ctx)
@@ -24,6 +24,10 @@
 		if errors.As(err, &superseded) {
 			return superseded
 		}
+		var left *NotRegisteredError
+		if errors.As(err, &left) {
+			return nil
+		}
 		delay := jittered(h.config.Fleet().RenewInterval(), rand.Float64())
 		if err != nil && ctx.Err() == nil {
 			logger.Warn("registration not renewed", "instance", h.config.Name, "error", err)
