--- a/identity/holder.go
+++ b/identity/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 type Holder struct {
 	config Config
 	table  platform.Table
+	jitter func() float64 // in [0, 1); replaced in tests
 
 	writing sync.Mutex // held during a platform write
 
@@ -62,7 +64,7 @@
 		CallerAddress: config.CallerAddress,
 		State:         StateServing,
 	}
-	return &Holder{config: config, table: table, reg: reg}
+	return &Holder{config: config, table: table, jitter: rand.Float64, reg: reg}
 }
 
 // Registration returns the registration as this process knows it. Its token is 0
--- a/identity/membership.go
+++ b/identity/membership.go
@@ -191,6 +191,24 @@
 	return members
 }
 
+// Fleet returns the size of the fleet: all instances that are not gone.
+func (m *Membership) Fleet(now time.Time) Fleet {
+	var f Fleet
+	zones := make(map[string]bool)
+	for _, e := range m.entries {
+		if m.state(e, now) == MemberGone {
+			continue
+		}
+		f.Instances++
+		zones[e.zone] = true
+		if e.zone == m.zone {
+			f.ZoneMates++
+		}
+	}
+	f.Zones = len(zones)
+	return f
+}
+
 // Usable returns the instances that lookups may name, ordered by name: the live
 // ones, or the suspected ones when none is live.
 func (m *Membership) Usable(now time.Time) []Member {
--- a/identity/run.go
+++ b/identity/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/platform"
@@ -28,10 +27,10 @@
 		if errors.As(err, &left) {
 			return nil
 		}
-		delay := jittered(h.config.Fleet().RenewInterval(), rand.Float64())
+		delay := jittered(h.config.Fleet().RenewInterval(), h.jitter())
 		if err != nil && ctx.Err() == nil {
 			logger.Warn("registration not renewed", "instance", h.config.Name, "error", err)
-			delay = jittered(retryInterval, rand.Float64())
+			delay = jittered(retryInterval, h.jitter())
 		}
 		if !sleep(ctx, delay) {
 			return nil
--- a/identity/watcher.go
+++ b/identity/watcher.go
@@ -16,6 +16,7 @@
 	table  platform.Table
 	list   platform.InstanceList
 	logger *slog.Logger
+	jitter func() float64 // in [0, 1); replaced in tests
 
 	mu    sync.Mutex
 	zone  string
@@ -29,6 +30,7 @@
 		table:  table,
 		list:   list,
 		logger: logger,
+		jitter: rand.Float64,
 		zone:   zone,
 		view:   NewMembership(zone, Fleet{}.Rules()),
 	}
@@ -39,7 +41,7 @@
 	var both sync.WaitGroup
 	w.Bootstrap(ctx)
 	both.Go(func() {
-		if sleep(ctx, w.Fleet().FirstScanDelay(rand.Float64())) {
+		if sleep(ctx, w.Fleet().FirstScanDelay(w.jitter())) {
 			w.every(ctx, w.Scan, Fleet.ScanInterval, "scan registrations")
 		}
 	})
@@ -52,7 +54,7 @@
 		if err := step(ctx); err != nil && ctx.Err() == nil {
 			w.logger.Warn("membership not updated", "step", what, "error", err)
 		}
-		if !sleep(ctx, jittered(interval(w.Fleet()), rand.Float64())) {
+		if !sleep(ctx, jittered(interval(w.Fleet()), w.jitter())) {
 			return
 		}
 	}
@@ -163,24 +165,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	apply(w.view)
-	w.fleet = FleetOf(w.view.Members(time.Now()), w.zone)
+	w.fleet = w.view.Fleet(time.Now())
 	w.view.SetRules(w.fleet.Rules())
 }
-
-// FleetOf returns the size of the fleet of the members that are not gone.
-func FleetOf(members []Member, zone string) Fleet {
-	var f Fleet
-	zones := make(map[string]bool)
-	for _, m := range members {
-		if m.State == MemberGone {
-			continue
-		}
-		f.Instances++
-		zones[m.Zone] = true
-		if m.Zone == zone {
-			f.ZoneMates++
-		}
-	}
-	f.Zones = len(zones)
-	return f
-}
