--- a/identity/run.go
+++ b/identity/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/platform"
@@ -14,9 +13,9 @@
 // tries fit into the shortest renewal interval.
 const retryInterval = 1500 * time.Millisecond
 
-// Run registers and renews until ctx ends or a newer registration exists. It
-// returns nil when ctx ended, and *SupersededError otherwise. A platform that is
-// down does not end it. Deregister is the caller's step after Run.
+// Run registers and renews until ctx ends, Deregister is called or a newer
+// registration exists. It returns *SupersededError in the last case and nil
+// otherwise. A platform that is down does not end it.
 func (h *Holder) Run(ctx context.Context, logger *slog.Logger) error {
 	for {
 		err := h.Renew(ctx)
@@ -24,10 +23,14 @@
 		if errors.As(err, &superseded) {
 			return superseded
 		}
-		delay := jittered(h.config.Fleet().RenewInterval(), rand.Float64())
+		var left *NotRegisteredError
+		if errors.As(err, &left) {
+			return nil
+		}
+		delay := jittered(h.config.Fleet().RenewInterval(), h.jitter())
 		if err != nil && ctx.Err() == nil {
 			logger.Warn("registration not renewed", "instance", h.config.Name, "error", err)
-			delay = jittered(retryInterval, rand.Float64())
+			delay = jittered(retryInterval, h.jitter())
 		}
 		if !sleep(ctx, delay) {
 			return nil
