Use plainer names in keys

Change: Hearing is called HeardDigest; test names and comments. No change in behavior.

Conclusion: go test -race -count=3 ./keys ./configstore passes.

--- a/keys/exchange.go
+++ b/keys/exchange.go
@@ -51,7 +51,7 @@
 	d.PlatformAge, d.PlatformKnown = f.freshness.PlatformAge(now)
 	d.Zones = f.freshness.Summaries(now, summaryWindow)
 	f.mu.Unlock()
-	// The view comes last, so that it contains all that the ages promise.
+	// The view comes last, so that it contains everything that the ages claim.
 	v := f.set.view.Load()
 	d.Generation = v.generation
 	d.Pending = v.pendingList()
@@ -66,7 +66,7 @@
 	if f.set.Generation() < d.Generation {
 		return false
 	}
-	h := Hearing{
+	h := HeardDigest{
 		Name:          d.Name,
 		Zone:          d.Zone,
 		Boot:          d.Boot,
--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -15,10 +15,10 @@
 	Age   time.Duration
 }
 
-// Hearing is a digest of a peer as far as freshness depends on it. It counts only
+// HeardDigest is a digest of a peer as far as freshness depends on it. It counts only
 // after everything in the digest is known to the receiver: its pending
 // withdrawals, and records of at least its key generation.
-type Hearing struct {
+type HeardDigest struct {
 	Name string
 	Zone string
 	Boot uint64 // identifies the process of the peer
@@ -47,7 +47,7 @@
 	boot     time.Time
 	listed   map[string]string // instance to zone, from the last known list
 	platform time.Time         // the key data contains the platform's state at this time
-	heard    map[string]Hearing
+	heard    map[string]HeardDigest
 	// firstSeen is when the present process of a peer was first heard from.
 	firstSeen map[string]time.Time
 	summaries map[string][]summary // of other zones
@@ -66,7 +66,7 @@
 		self:      self,
 		zone:      zone,
 		boot:      boot,
-		heard:     make(map[string]Hearing),
+		heard:     make(map[string]HeardDigest),
 		firstSeen: make(map[string]time.Time),
 		summaries: make(map[string][]summary),
 	}
@@ -79,7 +79,7 @@
 		f.listed = make(map[string]string)
 	}
 	unlisted := func(name string) bool { return f.listed[name] == "" }
-	maps.DeleteFunc(f.heard, func(name string, _ Hearing) bool { return unlisted(name) })
+	maps.DeleteFunc(f.heard, func(name string, _ HeardDigest) bool { return unlisted(name) })
 	maps.DeleteFunc(f.firstSeen, func(name string, _ time.Time) bool { return unlisted(name) })
 	f.evaluate()
 }
@@ -98,7 +98,7 @@
 }
 
 // Hear records a digest of a peer.
-func (f *Freshness) Hear(h Hearing) {
+func (f *Freshness) Hear(h HeardDigest) {
 	old, known := f.heard[h.Name]
 	if !known || old.Boot != h.Boot {
 		f.firstSeen[h.Name] = h.Received
--- a/keys/freshness_test.go
+++ b/keys/freshness_test.go
@@ -17,11 +17,11 @@
 // sevenListed are seven instances in three zones. The instance under test is a1.
 var sevenListed = map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
-func hear(name string, asOf float64) Hearing {
-	return Hearing{Name: name, Zone: sevenListed[name], Boot: 1, Complete: true, AsOf: after(asOf), Received: after(asOf)}
+func hear(name string, asOf float64) HeardDigest {
+	return HeardDigest{Name: name, Zone: sevenListed[name], Boot: 1, Complete: true, AsOf: after(asOf), Received: after(asOf)}
 }
 
-func relay(h Hearing, zones ...ZoneSummary) Hearing {
+func relay(h HeardDigest, zones ...ZoneSummary) HeardDigest {
 	h.Zones = zones
 	return h
 }
@@ -29,7 +29,7 @@
 // Guards against key data that counts as fresh although neither the platform nor a
 // majority was heard within the bound, by any of the ways to be heard.
 func TestFresh(t *testing.T) {
-	relayed := func(age time.Duration) Hearing {
+	relayed := func(age time.Duration) HeardDigest {
 		h := hear("b1", 10)
 		h.PlatformKnown, h.PlatformAge = true, age
 		return h
@@ -39,28 +39,28 @@
 	cases := []struct {
 		name     string
 		platform float64 // 0: never read
-		heard    []Hearing
+		heard    []HeardDigest
 		now      float64
 		want     bool
 	}{
 		{"nothing", 0, nil, 10, false},
 		{"platform within the bound", 10, nil, 15, true},
 		{"platform outside the bound", 10, nil, 15.1, false},
-		{"platform age of a peer", 0, []Hearing{relayed(3 * time.Second)}, 12, true},
-		{"ages add up", 0, []Hearing{relayed(3 * time.Second)}, 12.1, false},
-		{"majority", 0, []Hearing{hear("a2", 10), hear("b1", 10), hear("c1", 10)}, 15, true},
-		{"majority too old", 0, []Hearing{hear("a2", 10), hear("b1", 9.9), hear("c1", 10)}, 15, false},
-		{"three of seven", 0, []Hearing{hear("a2", 10), hear("b1", 10), hear("b1", 10)}, 10, false},
-		{"incomplete peer", 0, []Hearing{hear("a2", 10), hear("b1", 10), incomplete}, 10, false},
-		{"instance not on the list", 0, []Hearing{hear("a2", 10), hear("b1", 10), hear("x1", 10)}, 10, false},
-		{"itself", 0, []Hearing{hear("a2", 10), hear("b1", 10), hear("a1", 10)}, 10, false},
-		{"zone summary", 0, []Hearing{hear("a2", 10), relay(hear("b1", 10), ZoneSummary{"b", 2, time.Second})}, 14, true},
-		{"zone summary too old", 0, []Hearing{hear("a2", 10), relay(hear("b1", 10), ZoneSummary{"b", 2, time.Second})}, 14.1, false},
-		{"summary of a third zone", 0, []Hearing{relay(hear("b1", 10), ZoneSummary{"c", 2, time.Second})}, 14, true},
-		{"summary larger than its zone", 0, []Hearing{relay(hear("a2", 10), ZoneSummary{"c", 9, 0})}, 10, true},
-		{"summaries of one zone twice", 0, []Hearing{relay(hear("a2", 10), ZoneSummary{"c", 1, 0}), relay(hear("a3", 9), ZoneSummary{"c", 1, 0})}, 14, true},
-		{"summary larger than its zone, alone", 0, []Hearing{relay(hear("x1", 10), ZoneSummary{"b", 9, 0})}, 10, false},
-		{"summary of the own zone", 0, []Hearing{relay(hear("b1", 10), ZoneSummary{"a", 3, 0})}, 10, false},
+		{"platform age of a peer", 0, []HeardDigest{relayed(3 * time.Second)}, 12, true},
+		{"ages add up", 0, []HeardDigest{relayed(3 * time.Second)}, 12.1, false},
+		{"majority", 0, []HeardDigest{hear("a2", 10), hear("b1", 10), hear("c1", 10)}, 15, true},
+		{"majority too old", 0, []HeardDigest{hear("a2", 10), hear("b1", 9.9), hear("c1", 10)}, 15, false},
+		{"three of seven", 0, []HeardDigest{hear("a2", 10), hear("b1", 10), hear("b1", 10)}, 10, false},
+		{"incomplete peer", 0, []HeardDigest{hear("a2", 10), hear("b1", 10), incomplete}, 10, false},
+		{"instance not on the list", 0, []HeardDigest{hear("a2", 10), hear("b1", 10), hear("x1", 10)}, 10, false},
+		{"itself", 0, []HeardDigest{hear("a2", 10), hear("b1", 10), hear("a1", 10)}, 10, false},
+		{"zone summary", 0, []HeardDigest{hear("a2", 10), relay(hear("b1", 10), ZoneSummary{"b", 2, time.Second})}, 14, true},
+		{"zone summary too old", 0, []HeardDigest{hear("a2", 10), relay(hear("b1", 10), ZoneSummary{"b", 2, time.Second})}, 14.1, false},
+		{"summary of a third zone", 0, []HeardDigest{relay(hear("b1", 10), ZoneSummary{"c", 2, time.Second})}, 14, true},
+		{"summary larger than its zone", 0, []HeardDigest{relay(hear("a2", 10), ZoneSummary{"c", 9, 0})}, 10, true},
+		{"summaries of one zone twice", 0, []HeardDigest{relay(hear("a2", 10), ZoneSummary{"c", 1, 0}), relay(hear("a3", 9), ZoneSummary{"c", 1, 0})}, 14, true},
+		{"summary larger than its zone, alone", 0, []HeardDigest{relay(hear("x1", 10), ZoneSummary{"b", 9, 0})}, 10, false},
+		{"summary of the own zone", 0, []HeardDigest{relay(hear("b1", 10), ZoneSummary{"a", 3, 0})}, 10, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -81,9 +81,9 @@
 // Guards against an instance that forgot confirmed withdrawals in a restart and
 // counts again before it has recovered them.
 func TestComplete(t *testing.T) {
-	without := func(h Hearing) Hearing { h.Complete = false; return h }
+	without := func(h HeardDigest) HeardDigest { h.Complete = false; return h }
 	others := []string{"a2", "a3", "b1", "b2", "c1", "c2"}
-	all := func(from, step float64) (list []Hearing) {
+	all := func(from, step float64) (list []HeardDigest) {
 		for i, name := range others {
 			list = append(list, without(hear(name, from+step*float64(i))))
 		}
@@ -92,18 +92,18 @@
 	cases := []struct {
 		name     string
 		platform bool
-		heard    []Hearing
+		heard    []HeardDigest
 		want     bool
 	}{
 		{"platform alone", true, nil, false},
-		{"one complete peer alone", false, []Hearing{hear("b1", 2)}, false},
-		{"platform and a complete peer", true, []Hearing{hear("b1", 2)}, true},
-		{"platform and a peer heard before the start", true, []Hearing{hear("b1", -2)}, false},
-		{"platform and an unlisted peer", true, []Hearing{hear("x1", 2)}, false},
-		{"four of seven", false, []Hearing{hear("a2", 1), hear("b1", 2), hear("b2", 2), hear("c1", 9)}, true},
-		{"three of seven", false, []Hearing{hear("a2", 1), hear("b1", 2), hear("b2", 2)}, false},
-		{"summaries", false, []Hearing{relay(hear("b1", 9), ZoneSummary{"b", 2, time.Second}, ZoneSummary{"c", 2, time.Second})}, true},
-		{"summary from before the start", false, []Hearing{relay(hear("b1", 9), ZoneSummary{"b", 2, time.Second}, ZoneSummary{"c", 2, 10 * time.Second})}, false},
+		{"one complete peer alone", false, []HeardDigest{hear("b1", 2)}, false},
+		{"platform and a complete peer", true, []HeardDigest{hear("b1", 2)}, true},
+		{"platform and a peer heard before the start", true, []HeardDigest{hear("b1", -2)}, false},
+		{"platform and an unlisted peer", true, []HeardDigest{hear("x1", 2)}, false},
+		{"four of seven", false, []HeardDigest{hear("a2", 1), hear("b1", 2), hear("b2", 2), hear("c1", 9)}, true},
+		{"three of seven", false, []HeardDigest{hear("a2", 1), hear("b1", 2), hear("b2", 2)}, false},
+		{"summaries", false, []HeardDigest{relay(hear("b1", 9), ZoneSummary{"b", 2, time.Second}, ZoneSummary{"c", 2, time.Second})}, true},
+		{"summary from before the start", false, []HeardDigest{relay(hear("b1", 9), ZoneSummary{"b", 2, time.Second}, ZoneSummary{"c", 2, 10 * time.Second})}, false},
 		{"all incomplete at once", true, append(all(2, 0.1), all(4, 0.1)...), true},
 		{"all incomplete, one after the other", true, all(2, 0.1), false},
 		{"all incomplete without the platform", false, append(all(2, 0.1), all(4, 0.1)...), false},
@@ -138,7 +138,7 @@
 	must.True(t, alone.Fresh(after(60), testBound, 1), must.Sprint("the only instance is more than half"))
 }
 
-// Guards against summaries that promise more than was heard.
+// Guards against summaries that claim more than was heard.
 func TestSummaries(t *testing.T) {
 	f := NewFreshness("a1", "a", after(0))
 	f.SetListed(sevenListed)
--- a/keys/property_test.go
+++ b/keys/property_test.go
@@ -184,7 +184,7 @@
 	*fleet
 	keys        []Key
 	withdrawals map[string]*withdrawal
-	flying      []answer
+	inFlight    []answer
 	accepted    int // checks that accepted a key
 	inForce     int
 }
@@ -246,15 +246,15 @@
 		"ask all": func(t *rapid.T) {
 			for _, a := range m.names {
 				if b := m.name(t); a != b && m.reaches(a, b) {
-					m.flying = append(m.flying, m.ask(a, b))
+					m.inFlight = append(m.inFlight, m.ask(a, b))
 				}
 			}
 		},
 		"deliver all": func(t *rapid.T) {
-			for _, a := range m.flying {
+			for _, a := range m.inFlight {
 				m.deliver(a)
 			}
-			m.flying = nil
+			m.inFlight = nil
 		},
 		"split": func(t *rapid.T) {
 			side := rapid.SliceOfN(rapid.Bool(), len(m.names), len(m.names)).Draw(t, "side")
@@ -291,16 +291,16 @@
 		"ask": func(t *rapid.T) {
 			a, b := m.name(t), m.name(t)
 			if a != b && m.reaches(a, b) {
-				m.flying = append(m.flying, m.ask(a, b))
+				m.inFlight = append(m.inFlight, m.ask(a, b))
 			}
 		},
 		"deliver": func(t *rapid.T) {
-			if len(m.flying) == 0 {
-				t.Skip("nothing on its way")
+			if len(m.inFlight) == 0 {
+				t.Skip("nothing in flight")
 			}
-			i := rapid.IntRange(0, len(m.flying)-1).Draw(t, "answer")
-			m.deliver(m.flying[i])
-			m.flying = append(m.flying[:i], m.flying[i+1:]...)
+			i := rapid.IntRange(0, len(m.inFlight)-1).Draw(t, "answer")
+			m.deliver(m.inFlight[i])
+			m.inFlight = append(m.inFlight[:i], m.inFlight[i+1:]...)
 		},
 		"outage":       func(t *rapid.T) { m.cutPlatform(true, m.names...) },
 		"outage ends":  func(t *rapid.T) { m.cutPlatform(false, m.names...) },
--- a/keys/scenario_test.go
+++ b/keys/scenario_test.go
@@ -126,7 +126,7 @@
 }
 
 // Guards against an instance that confirmed a withdrawal, restarted, read a
-// platform that does not have it yet, and accepts the key or vouches for others.
+// platform that does not have it yet, and accepts the key or counts as heard for others.
 func TestRestartForgetsConfirmedWithdrawal(t *testing.T) {
 	f, k := scenario(t)
 	f.cutPlatform(true, f.names...)
--- a/keys/set_test.go
+++ b/keys/set_test.go
@@ -30,10 +30,10 @@
 func TestVerify(t *testing.T) {
 	valid, withdrawn, pending, unknown := NewKey(), NewKey(), NewKey(), NewKey()
 	s := NewSet()
-	gone := NewRecord(withdrawn, "c1", []string{AnyRoute})
-	gone.Withdrawn = true
+	withdrawnRecord := NewRecord(withdrawn, "c1", []string{AnyRoute})
+	withdrawnRecord.Withdrawn = true
 	s.Import(State{Generation: 3, Records: []Record{
-		NewRecord(valid, "c1", []string{"check", "order"}), gone, NewRecord(pending, "c2", []string{AnyRoute}),
+		NewRecord(valid, "c1", []string{"check", "order"}), withdrawnRecord, NewRecord(pending, "c2", []string{AnyRoute}),
 	}})
 	s.ApplyWithdrawals([]Withdrawal{{KeyID: pending.ID}, {KeyID: "not an identifier"}})
 	must.Eq(t, []Withdrawal{{KeyID: pending.ID}}, s.PendingWithdrawals())
@@ -76,13 +76,13 @@
 func TestWithdrawnWins(t *testing.T) {
 	k := NewKey()
 	granted := NewRecord(k, "c1", []string{AnyRoute})
-	gone := granted
-	gone.Withdrawn = true
+	withdrawnRecord := granted
+	withdrawnRecord.Withdrawn = true
 	steps := map[string]func(*Set){
-		"records":              func(s *Set) { s.Import(State{Generation: 2, Records: []Record{gone}}) },
+		"records":              func(s *Set) { s.Import(State{Generation: 2, Records: []Record{withdrawnRecord}}) },
 		"older records":        func(s *Set) { s.Import(State{Generation: 1, Records: []Record{granted}}) },
 		"wrong newer records":  func(s *Set) { s.Import(State{Generation: 9, Records: []Record{granted}}) },
-		"older with withdrawn": func(s *Set) { s.Import(State{Generation: 1, Records: []Record{gone}}) },
+		"older with withdrawn": func(s *Set) { s.Import(State{Generation: 1, Records: []Record{withdrawnRecord}}) },
 		"pending at a peer":    func(s *Set) { s.Import(State{Generation: 1, Pending: []Withdrawal{{KeyID: k.ID}}}) },
 		"announcement":         func(s *Set) { s.ApplyWithdrawals([]Withdrawal{{KeyID: k.ID}}) },
 		"log":                  func(s *Set) { s.Advance([]Change{{Generation: s.Generation() + 1, Record: granted}}) },
