placement: bound the use of a region between two digests

Rounding to whole slots at each server also adds up over a region.

Change: an instance may raise its use of its own region up to its static share at any time, and above that by its part of the slots above the limits until the next digest; the expected load of the whole region may exceed the limits by no more than that part. The replay counts requests from sending to their end as load of a region.

Two of sixteen requests above the slots remain possible, since counts of other instances are up to a second old; servers answer 503 to them.

--- a/placement/book.go
+++ b/placement/book.go
@@ -41,11 +41,20 @@
 
 	mu       sync.Mutex
 	servers  map[string]*entry
-	services map[string][]*entry // sorted by name
+	services map[string]*pool
 	// scratch is reused by view to keep placement free of large allocations.
 	scratch []Candidate
 }
 
+// pool holds the servers of a service.
+type pool struct {
+	entries []*entry // sorted by name
+	// peak is this instance's largest use of its own region since the last digest,
+	// last the same for the digest before.
+	peak int
+	last int
+}
+
 // entry is one server in the book.
 type entry struct {
 	config.BackendServer
@@ -71,7 +80,7 @@
 	return &Book{
 		self:     self,
 		servers:  make(map[string]*entry),
-		services: make(map[string][]*entry),
+		services: make(map[string]*pool),
 	}
 }
 
@@ -95,9 +104,14 @@
 	for i := range e.reports {
 		e.reports[i].rank = e.rankOf(e.reports[i].instance)
 	}
-	if !slices.Contains(b.services[s.Service], e) {
-		b.services[s.Service] = append(b.services[s.Service], e)
-		slices.SortFunc(b.services[s.Service], func(x, y *entry) int { return cmp.Compare(x.Name, y.Name) })
+	p := b.services[s.Service]
+	if p == nil {
+		p = &pool{}
+		b.services[s.Service] = p
+	}
+	if !slices.Contains(p.entries, e) {
+		p.entries = append(p.entries, e)
+		slices.SortFunc(p.entries, func(x, y *entry) int { return cmp.Compare(x.Name, y.Name) })
 	}
 }
 
@@ -114,9 +128,9 @@
 }
 
 func (b *Book) unlist(e *entry) {
-	kept := slices.DeleteFunc(b.services[e.Service], func(o *entry) bool { return o == e })
-	b.services[e.Service] = kept
-	if len(kept) == 0 {
+	p := b.services[e.Service]
+	p.entries = slices.DeleteFunc(p.entries, func(o *entry) bool { return o == e })
+	if len(p.entries) == 0 {
 		delete(b.services, e.Service)
 	}
 }
@@ -155,9 +169,15 @@
 func (b *Book) Place(req Request, in Inputs, rng *rand.Rand, now time.Time) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	d := Choose(req, b.view(req.Service, in, now), rng)
+	p := b.services[req.Service]
+	if p == nil {
+		return Decision{}
+	}
+	v := b.view(p, in, now)
+	d := Choose(req, v, rng)
 	if e := b.servers[d.Server]; e != nil {
 		e.inUse++
+		p.peak = max(p.peak, b.ownUse(p))
 	}
 	return d
 }
@@ -190,14 +210,16 @@
 // Loads returns this instance's use of all servers, sorted by name. Servers without
 // use are included: zero is a measurement. reserved returns the requests that the
 // instance has granted to other regions for a service; they count as use, so that
-// no other instance of the region takes that room.
+// no other instance of the region takes that room. It is called once per digest
+// round: from then on the others know of this instance's use.
 func (b *Book) Loads(reserved func(service string) int, p config.Policy) []Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make([]Load, 0, len(b.servers))
-	for service, entries := range b.services {
+	for service, pool := range b.services {
+		pool.last, pool.peak = pool.peak, b.ownUse(pool)
 		left := reserved(service)
-		for _, e := range entries {
+		for _, e := range pool.entries {
 			part := 0
 			if e.region == b.self.Region {
 				part = min(left, max(0, e.share(e.rank, Limit(e.Slots, p))-e.inUse))
@@ -218,19 +240,23 @@
 	defer b.mu.Unlock()
 	spare := 0.0
 	var c Candidate
-	for _, e := range b.services[service] {
+	p := b.services[service]
+	if p == nil {
+		return 0
+	}
+	for _, e := range p.entries {
 		if e.region != b.self.Region {
 			continue
 		}
 		e.describe(&c, in, now)
 		limit := Limit(e.Slots, in.Policy)
-		spare += spareAt(&c, e.share(e.rank, limit), limit)
+		spare += spareAt(&c, limit)
 	}
 	return int(spare + rounding)
 }
 
-func spareAt(c *Candidate, share, limit int) float64 {
-	own := float64(max(0, share-c.InUse))
+func spareAt(c *Candidate, limit int) float64 {
+	own := float64(max(0, c.Share-c.InUse))
 	expected, _, _ := othersUse(c, TierRegion)
 	left := float64(limit-c.InUse) - expected
 	if own <= 0 || left <= 0 {
@@ -243,13 +269,12 @@
 	return c.Weight * min(own, left*own/unused)
 }
 
-func (b *Book) view(service string, in Inputs, now time.Time) View {
-	entries := b.services[service]
-	if cap(b.scratch) < len(entries) {
-		b.scratch = make([]Candidate, len(entries))
+func (b *Book) view(p *pool, in Inputs, now time.Time) View {
+	if cap(b.scratch) < len(p.entries) {
+		b.scratch = make([]Candidate, len(p.entries))
 	}
-	b.scratch = b.scratch[:len(entries)]
-	for i, e := range entries {
+	b.scratch = b.scratch[:len(p.entries)]
+	for i, e := range p.entries {
 		e.describe(&b.scratch[i], in, now)
 	}
 	return View{
@@ -258,10 +283,22 @@
 		Candidates: b.scratch,
 		Spill:      in.Spill,
 		Reserved:   in.Reserved,
+		LastPeak:   p.last,
 		Policy:     in.Policy,
 	}
 }
 
+// ownUse returns this instance's requests in progress in its own region.
+func (b *Book) ownUse(p *pool) int {
+	sum := 0
+	for _, e := range p.entries {
+		if e.region == b.self.Region {
+			sum += e.inUse
+		}
+	}
+	return sum
+}
+
 // describe fills in a candidate and reuses its slice.
 func (e *entry) describe(c *Candidate, in Inputs, now time.Time) {
 	weight, reason := in.States.Eligible(e.Name, now)
@@ -277,7 +314,9 @@
 		return
 	}
 	limit := Limit(e.Slots, in.Policy)
-	c.UnreportedShare = limit - e.share(e.rank, limit)
+	c.Sharers = len(e.sharers)
+	c.Share = e.share(e.rank, limit)
+	c.UnreportedShare = limit - c.Share
 	for _, r := range e.reports {
 		share := e.share(r.rank, limit)
 		c.UnreportedShare -= share
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -41,13 +41,15 @@
 	index  int
 	weight float64 // sampling weight: only here does slow start count
 	fill   float64 // load with this request, as a share of the limit
-	free   int     // requests for which there is room, with this one
+	left   float64 // expected room, below 0 when more than the limit is in use
+	margin float64 // slots above the limit
 	static bool
 }
 
 func choose(req Request, sel selector.Selector, v View, rng *rand.Rand) Decision {
 	verdicts := make([]Rejection, len(v.Candidates))
 	var byTier [tiers][]option
+	var local region
 	for i := range v.Candidates {
 		c := &v.Candidates[i]
 		verdicts[i].Server = c.Server
@@ -56,6 +58,9 @@
 			continue
 		}
 		o, why := room(c, tier, v.Policy)
+		if tier != TierRemote {
+			local.add(c, o)
+		}
 		if why != 0 {
 			verdicts[i].Why = why
 			continue
@@ -64,7 +69,9 @@
 		verdicts[i].Why = RejectedFarther
 		byTier[tier] = append(byTier[tier], o)
 	}
-	holdBack(&byTier, verdicts, v.Reserved)
+	if why := local.closed(v); why != 0 {
+		dropLocal(&byTier, verdicts, why)
+	}
 	for tier, options := range byTier {
 		if len(options) > 0 {
 			return pick(Tier(tier), options, v, verdicts, rng)
@@ -73,24 +80,51 @@
 	return Decision{Rejected: verdicts}
 }
 
-// holdBack removes the options of the own region when their room is granted to
-// other regions.
-func holdBack(byTier *[tiers][]option, verdicts []Rejection, reserved int) {
-	if reserved <= 0 {
-		return
-	}
-	free := 0
-	for _, tier := range []Tier{TierZone, TierRegion} {
-		for _, o := range byTier[tier] {
-			free += o.free
-		}
+// region sums up the usable servers of the own region.
+type region struct {
+	left   float64 // expected room
+	margin float64 // part of the slots above the limits
+	own    int     // requests in progress of this instance
+	share  int     // static share
+	shared bool
+}
+
+func (r *region) add(c *Candidate, o option) {
+	r.left += o.left
+	r.own += c.InUse
+	r.share += c.Share
+	if c.Sharers > 0 {
+		r.margin += o.margin / float64(c.Sharers)
+		r.shared = true
 	}
-	if free > reserved {
-		return
+}
+
+// closed returns the reason why the region as a whole takes no more requests, or 0.
+//
+// The load of single servers is rounded to whole slots; what this adds up to stays
+// within the instance's part of the margin that the maximum utilization leaves. Up to
+// its static share an instance may always raise its use. Above, it borrows what others
+// reported as unused, and all of them may do so at once; until the others have heard
+// of it, an instance borrows at most its part of the margin.
+func (r *region) closed(v View) Why {
+	bound := max(r.share, v.LastPeak) + max(1, int(r.margin))
+	left := r.left + r.margin + rounding
+	switch {
+	case left < 1:
+		return RejectedSlots
+	case r.shared && r.own >= bound:
+		return RejectedGrowth
+	case left < float64(1+v.Reserved):
+		return RejectedReserved
+	default:
+		return 0
 	}
+}
+
+func dropLocal(byTier *[tiers][]option, verdicts []Rejection, why Why) {
 	for _, tier := range []Tier{TierZone, TierRegion} {
 		for _, o := range byTier[tier] {
-			verdicts[o.index].Why = RejectedReserved
+			verdicts[o.index].Why = why
 		}
 		byTier[tier] = nil
 	}
@@ -131,34 +165,36 @@
 	return known && refusal == nil
 }
 
-// room returns the option for a candidate with room, or the reason why it has none.
+// room returns the option for a candidate, and the reason why it has no room or 0.
 func room(c *Candidate, tier Tier, p config.Policy) (option, Why) {
 	limit := float64(Limit(c.Slots, p))
 	others, known, stalest := othersUse(c, tier)
-	load := float64(c.InUse) + others + 1
-	static := stalest < freshEnough
+	warm := math.Max(1, math.Ceil(limit*c.Weight))
+	used := float64(c.InUse) + others
+	o := option{
+		weight: c.Weight * limit,
+		fill:   (used + 1) / limit,
+		left:   math.Min(limit-used, warm-float64(c.InUse)),
+		margin: float64(c.Slots) - limit,
+		static: stalest < freshEnough,
+	}
 	allowed := limit + rounding
-	if !static {
+	if !o.static {
 		allowed += halfSlot
 	}
 	switch {
 	case float64(c.InUse)+known+1 > limit+rounding:
-		return option{}, RejectedSlots
-	case load > allowed && static:
-		return option{}, RejectedStaticShare
-	case load > allowed:
-		return option{}, RejectedSlots
-	case float64(c.InUse)+1 > math.Max(1, math.Ceil(limit*c.Weight)):
-		return option{}, RejectedSlowStart
+		return o, RejectedSlots
+	case used+1 > allowed && o.static:
+		return o, RejectedStaticShare
+	case used+1 > allowed:
+		return o, RejectedSlots
+	case float64(c.InUse)+1 > warm:
+		return o, RejectedSlowStart
 	case c.Idle == 0 && c.Open >= connectionLimit(c):
-		return option{}, RejectedConnections
+		return o, RejectedConnections
 	}
-	return option{
-		weight: c.Weight * limit,
-		fill:   load / limit,
-		free:   int(allowed - load + 1),
-		static: static,
-	}, 0
+	return o, 0
 }
 
 // othersUse returns the expected use by other instances, the part of it that was
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -71,6 +71,10 @@
 	// ConnectionShare is the number of connections that this instance may open.
 	// Zero means all.
 	ConnectionShare int
+	// Sharers is the number of entry instances that divide the server's slots, zero
+	// when it is not divided. Share is this instance's static share.
+	Sharers int
+	Share   int
 	// Others is the reported use of the server by other entry instances.
 	Others []Use
 	// UnreportedShare is the sum of the static shares of the entry instances that
@@ -89,6 +93,9 @@
 	// Reserved is the number of requests that this instance has granted to other
 	// regions for the service. That much room stays free in the own region.
 	Reserved int
+	// LastPeak is this instance's largest number of requests in progress in its own
+	// region that the other instances have heard of.
+	LastPeak int
 	Policy   config.Policy
 }
 
@@ -143,6 +150,9 @@
 	RejectedConnections
 	// RejectedSpill: headroom refused the region.
 	RejectedSpill
+	// RejectedGrowth: the other entry instances have not yet heard of this one's
+	// higher use.
+	RejectedGrowth
 	// RejectedReserved: the room left in the region is granted to other regions.
 	RejectedReserved
 	// RejectedFarther: a nearer tier has room.
@@ -164,6 +174,7 @@
 	RejectedSlowStart:   "slow start share in use",
 	RejectedConnections: "connections in use",
 	RejectedSpill:       "region has no headroom",
+	RejectedGrowth:      "use grew too much since the last digest",
 	RejectedReserved:    "room is reserved for other regions",
 	RejectedFarther:     "nearer server has room",
 	RejectedNotSampled:  "not sampled",
@@ -246,7 +257,8 @@
 	e := &NoServerError{Service: service, Rejected: d.Rejected}
 	for _, r := range d.Rejected {
 		switch r.Why {
-		case RejectedSlots, RejectedStaticShare, RejectedSlowStart, RejectedConnections, RejectedSpill:
+		case RejectedSlots, RejectedStaticShare, RejectedSlowStart, RejectedConnections,
+			RejectedSpill, RejectedGrowth:
 			e.Overloaded = true
 		case RejectedReserved:
 			e.Overloaded = true
--- a/trace/measures.go
+++ b/trace/measures.go
@@ -42,15 +42,31 @@
 	// LastNewWork is the longest time from the start of a drain to a new request
 	// at the server.
 	LastNewWork config.Duration `json:"last_new_work"`
-	// PeakLoad is the largest share of a region's slots in use, by region.
+	// PeakLoad is the largest number of requests sent to a region's servers and not
+	// ended, as a share of the region's slots, by region.
 	PeakLoad map[string]float64 `json:"peak_load"`
 	// Crashes counts the servers that requests crashed.
 	Crashes int `json:"crashes"`
 
-	latencies []time.Duration
-	within    map[string]int             // requests within rate, by customer
-	bad       map[string]int             // of them, refused or failed
-	work      map[string][]time.Duration // by region and second of its start
+	latencies   []time.Duration
+	within      map[string]int             // requests within rate, by customer
+	bad         map[string]int             // of them, refused or failed
+	slots       map[string]int             // by region
+	outstanding map[string]int             // by region
+	work        map[string][]time.Duration // by region and second of its start
+}
+
+func newMeasures(policy string, t *Trace) *Measures {
+	m := &Measures{
+		Policy: policy, Headroom: 1, Refusals: map[string]int{}, PeakLoad: map[string]float64{},
+		Attempts: make([]int, 1+t.Duration.Std()/time.Second),
+		within:   map[string]int{}, bad: map[string]int{}, slots: map[string]int{},
+		outstanding: map[string]int{}, work: map[string][]time.Duration{},
+	}
+	for _, g := range t.Servers {
+		m.slots[g.Region] += g.Count * g.Slots
+	}
+	return m
 }
 
 func (m *Measures) accepted(b *backend) {
@@ -60,21 +76,19 @@
 	}
 }
 
+// sent counts requests on their way to a region's servers or there, n is 1 or -1.
+func (m *Measures) sent(region string, n int) {
+	m.outstanding[region] += n
+	m.PeakLoad[region] = max(m.PeakLoad[region], float64(m.outstanding[region])/float64(m.slots[region]))
+}
+
 func (m *Measures) started(b *backend, work time.Duration) {
-	used, slots := 0, 0
-	for _, o := range b.r.backends {
-		if o.Region == b.Region {
-			used += len(o.active)
-			slots += o.Slots
-		}
-	}
-	m.PeakLoad[b.Region] = max(m.PeakLoad[b.Region], float64(used)/float64(slots))
 	if m.work[b.Region] == nil {
 		m.work[b.Region] = make([]time.Duration, len(m.Attempts))
 	}
 	second := min(int(b.r.now/time.Second), len(m.Attempts)-1)
 	m.work[b.Region][second] += work
-	m.Headroom = min(m.Headroom, max(0, 1-m.work[b.Region][second].Seconds()/float64(slots)))
+	m.Headroom = min(m.Headroom, max(0, 1-m.work[b.Region][second].Seconds()/float64(m.slots[b.Region])))
 }
 
 func (m *Measures) finish() {
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -93,12 +93,7 @@
 	if err := t.validate(); err != nil {
 		return Measures{}, err
 	}
-	r := &replay{trace: t, policy: p, limits: map[string]*rate.Limiter{}}
-	r.m = &Measures{
-		Policy: p.Name, Headroom: 1, Refusals: map[string]int{}, PeakLoad: map[string]float64{},
-		Attempts: make([]int, 1+t.Duration.Std()/time.Second),
-		within:   map[string]int{}, bad: map[string]int{}, work: map[string][]time.Duration{},
-	}
+	r := &replay{trace: t, policy: p, limits: map[string]*rate.Limiter{}, m: newMeasures(p.Name, t)}
 	if err := r.build(); err != nil {
 		return Measures{}, err
 	}
@@ -258,6 +253,7 @@
 	case err == nil:
 		q.server, q.sent = server, r.now
 		q.tried = append(q.tried, server.name)
+		r.m.sent(server.Region, 1)
 		r.after(q.delay(), func() { server.accept(q) })
 	case waits:
 		r.after(pollInterval, func() { r.try(q) })
@@ -282,6 +278,7 @@
 }
 
 func (r *replay) ended(q *request, k serverstate.Kind, closing bool) {
+	r.m.sent(q.server.Region, -1)
 	if r.affected(KindFail, q.at) != nil {
 		r.fail(q)
 		return
