--- a/entry/entry.go
+++ b/entry/entry.go
@@ -183,8 +183,9 @@
 	e.peers = peers
 	e.gossip.peers = peers
 	claimService := newClaimService(self, store, e.members, e.log)
+	upkeep := &maintenance{claims: claimService, members: e.members, store: store, log: e.log}
 	services := []kernel.Service{
-		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.admission, e.lookups, e.gossip, peers, claimService,
+		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.admission, e.lookups, e.gossip, peers, claimService, upkeep,
 		e.callerHTTP(claimService), e.operatorHTTP(),
 	}
 	for _, s := range services {
