limits: bound the open writes of a long outage

Cause: a write of unknown outcome stays open until the row changes. With one write per second and limit, an outage that loses every reply would need memory without a bound.

Change: from 64 open writes on, a holder writes once per lease term.

Faults put in on purpose: without the bound TestOpenWritesAreBounded printed 999 open writes, with a holder that then never writes 64, where at least 74 are due.

--- a/limits/holder.go
+++ b/limits/holder.go
@@ -189,7 +189,7 @@
 func (h *Holder) Propose(now time.Time) (Proposal, bool) {
 	h.expire(now)
 	demand := h.demand.sample(now)
-	if !h.known {
+	if !h.known || h.tooManyOpen(now) {
 		return Proposal{}, false
 	}
 	next, due := decide(h.view(demand, now))
@@ -199,6 +199,14 @@
 	return h.send(next, now), true
 }
 
+// maxOpen is the number of open writes from which on they are sent once per lease
+// term. Each needs memory until the row changes, which a long outage prevents.
+const maxOpen = 64
+
+func (h *Holder) tooManyOpen(now time.Time) bool {
+	return len(h.attempts) >= maxOpen && now.Sub(h.lastWrite) < h.policy.LeaseTerm
+}
+
 // Leave returns the row without the own entry and stops admitting. The second
 // result is false when there is no entry to remove.
 func (h *Holder) Leave(now time.Time) (Proposal, bool) {
--- a/limits/holder_test.go
+++ b/limits/holder_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/platform/memory"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -67,6 +69,16 @@
 	must.Between(t, 20, writes, 100)
 }
 
+// Guards against memory that grows with each write of unknown outcome during a
+// long outage, and against a holder that then never writes again.
+func TestOpenWritesAreBounded(t *testing.T) {
+	h := newTestHolder(t)
+	for i := range 1000 {
+		h.Propose(start.Add(time.Duration(i) * time.Second))
+	}
+	must.Between(t, maxOpen+10, len(h.attempts), maxOpen+100)
+}
+
 // Guards against tokens that appear or stay when a share changes, and against a
 // clock reading from before the last one.
 func TestBucketShareChanges(t *testing.T) {
@@ -82,3 +94,13 @@
 	must.False(t, b.Take(15.5, start))
 	must.True(t, b.Take(15, start))
 }
+
+// BenchmarkAllow measures the hot path of a limit that one goroutine uses.
+func BenchmarkAllow(b *testing.B) {
+	m := NewManager(Options{Table: memory.New(), ID: "a/1", Instance: "a"})
+	must.NoError(b, m.SetLimits(1, []Limit{{Name: "acme", RatePerSecond: 1e6, Burst: 1e6}}))
+	must.SliceEmpty(b, m.Step(b.Context()))
+	for b.Loop() {
+		m.Allow("acme", 1, time.Now())
+	}
+}
