identity: pass direct sightings to zone mates

Cause: at 410 nodes one instance hears a particular remote one every 196 s, so a dead zone stayed in lookups of other zones for 590 s. Change: Membership.Direct lists what a digest to zone mates passes on; the limit for remote instances follows from what a whole zone hears. A relay without addresses keeps the known ones. Conclusion: needs a list of sightings in peerpb.Digest.

--- a/identity/entry.go
+++ b/identity/entry.go
@@ -31,6 +31,7 @@
 
 	heardAt       time.Time // when the newest digest was sent; zero: never
 	heardDraining bool
+	directAt      time.Time // when the newest digest came without a relay
 
 	listed listed
 	// leavingBoot is the process that was known when the listing first showed
@@ -99,7 +100,26 @@
 	}
 	e.heardAt = sentAt
 	e.heardDraining = s.Draining
-	e.peerAddress, e.callerAddress = s.PeerAddress, s.CallerAddress
+	if s.Age == 0 {
+		e.directAt = sentAt
+	}
+	if s.CallerAddress != "" {
+		e.peerAddress, e.callerAddress = s.PeerAddress, s.CallerAddress
+	}
+}
+
+// sighting returns the newest direct digest for a relay to others.
+func (e *entry) sighting(now time.Time) Sighting {
+	return Sighting{
+		Name:          e.name,
+		Zone:          e.zone,
+		BootID:        e.bootID,
+		Token:         e.token,
+		PeerAddress:   e.peerAddress,
+		CallerAddress: e.callerAddress,
+		Draining:      e.heardDraining,
+		Age:           max(now.Sub(e.directAt), time.Nanosecond), // 0 means direct
+	}
 }
 
 // replacedBy reports whether a digest of another boot id comes from a newer
--- a/identity/fleet.go
+++ b/identity/fleet.go
@@ -73,10 +73,12 @@
 	return max(minListInterval, perSecond(f.Instances, ListsPerSecond))
 }
 
-// RemoteDigestInterval returns the mean time between two direct digests of one
-// particular instance of another zone.
+// RemoteDigestInterval returns the mean time between two digests of one
+// particular instance of another zone, received by any instance of the own zone.
+// Zone mates pass on what they heard directly (Membership.Direct).
 func (f Fleet) RemoteDigestInterval() time.Duration {
-	return perSecond(max(f.Instances-f.ZoneMates, 0), digestsPerSecond)
+	remote := max(f.Instances-f.ZoneMates, 0)
+	return perSecond(remote, digestsPerSecond*max(f.ZoneMates, 1))
 }
 
 // ReadsPerSecond returns the reads of the whole fleet: rows of scans and lists.
--- a/identity/membership.go
+++ b/identity/membership.go
@@ -81,7 +81,7 @@
 	BootID        uint64
 	Token         int64 // 0 when not known
 	PeerAddress   string
-	CallerAddress string
+	CallerAddress string // with PeerAddress; empty keeps the known addresses
 	Draining      bool
 	// Age is the sum of the ages along the path; 0 when received directly.
 	Age time.Duration
@@ -181,6 +181,20 @@
 	}
 }
 
+// Direct returns the instances that this one heard without a relay within the
+// last time, ordered by name, for its digests to zone mates. Only these are
+// passed on, so that a sighting cannot circulate.
+func (m *Membership) Direct(now time.Time, within time.Duration) []Sighting {
+	var direct []Sighting
+	for _, e := range m.entries {
+		if now.Sub(e.directAt) < within && e.directAt.Equal(e.heardAt) {
+			direct = append(direct, e.sighting(now))
+		}
+	}
+	sort.Slice(direct, func(i, j int) bool { return direct[i].Name < direct[j].Name })
+	return direct
+}
+
 // Members returns all known instances ordered by name.
 func (m *Membership) Members(now time.Time) []Member {
 	members := make([]Member, 0, len(m.entries))
--- a/identity/membership_test.go
+++ b/identity/membership_test.go
@@ -165,6 +165,32 @@
 	must.Eq(t, time.Second, usable[1].Silent)
 }
 
+// Guards against sightings that circulate between zone mates and keep a dead
+// instance live, and against a relay that hides the sender's addresses.
+func TestDirectSightings(t *testing.T) {
+	a, b, now := NewMembership("z", testRules), NewMembership("z", testRules), time.Now()
+	a.ApplySighting(Sighting{Name: "x", Zone: "far", BootID: 1, Token: 7, PeerAddress: "p", CallerAddress: "c"}, now)
+	now = now.Add(time.Second)
+	relayed := a.Direct(now, 2*time.Second)
+	must.Eq(t, []Sighting{{Name: "x", Zone: "far", BootID: 1, Token: 7, PeerAddress: "p", CallerAddress: "c", Age: time.Second}}, relayed)
+	must.SliceEmpty(t, a.Direct(now, time.Second))
+	b.ApplySighting(relayed[0], now)
+	must.SliceEmpty(t, b.Direct(now, time.Hour))
+	b.ApplySighting(Sighting{Name: "x", Zone: "far", BootID: 1, Age: time.Millisecond}, now)
+	must.Eq(t, "c", b.Members(now)[0].CallerAddress)
+	must.Eq(t, MemberLive, b.Members(now.Add(14 * time.Second))[0].State)
+	must.Eq(t, MemberSuspected, b.Members(now.Add(15 * time.Second))[0].State)
+}
+
+// Guards against a zone failure that other zones notice late: the limit for
+// remote instances at the target size.
+func TestRulesAtTargetSize(t *testing.T) {
+	rules := Fleet{Instances: 410, Zones: 24, ZoneMates: 17}.Rules()
+	must.Less(t, 36*time.Second, rules.RemoteHeardWithin)
+	must.Greater(t, 30*time.Second, rules.RemoteHeardWithin)
+	must.Eq(t, minRemoteHeardWithin, Fleet{Instances: 7, Zones: 6, ZoneMates: 1}.Rules().RemoteHeardWithin)
+}
+
 // countingList counts the calls for the instance list.
 type countingList struct {
 	*memory.Store
--- a/identity/watcher.go
+++ b/identity/watcher.go
@@ -139,6 +139,14 @@
 	w.view.ApplySighting(s, now)
 }
 
+// Direct returns what the digests to zone mates pass on: the instances heard
+// without a relay within the last time.
+func (w *Watcher) Direct(within time.Duration) []Sighting {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view.Direct(time.Now(), within)
+}
+
 // Members returns all known instances ordered by name.
 func (w *Watcher) Members() []Member {
 	w.mu.Lock()
