identity: say what became of one process

Cause: claims decide between "in progress" and "outcome unknown" by whether the claimant's process still runs. Change: Membership.Process and Watcher.Process; doc comments in claims. Broken on purpose and restored: without the replaced boot id TestProcess gets another state than gone. Ruled out: treating any other boot id as gone. A claim row can be newer than the view, and its claimant would be reported as gone while it works.

--- a/claims/begin.go
+++ b/claims/begin.go
@@ -16,7 +16,7 @@
 type Prior struct {
 	// Decision is DecideStored, DecideInProgress or DecideUnknown.
 	Decision Decision
-	// Outcome is the stored response with DecideStored.
+	// Outcome is the stored response with DecideStored. It must not be changed.
 	Outcome *Outcome
 }
 
--- a/claims/claim.go
+++ b/claims/claim.go
@@ -72,7 +72,7 @@
 // Release gives up the claim so that the key can be used again. It returns
 // *StateError after MarkSent, and *PendingError while the platform does not
 // confirm the release; either way nothing will be sent under this claim unless
-// MarkSent succeeded before.
+// MarkSent succeeded before. Further calls do nothing.
 func (c *Claim) Release(ctx context.Context) error {
 	c.mu.Lock()
 	if !mayRelease(c.phase) {
--- a/claims/store.go
+++ b/claims/store.go
@@ -23,8 +23,8 @@
 	CallTimeout   time.Duration
 	RetryFor      time.Duration
 	InProgressFor time.Duration
-	// Liveness says what is known about the claimant of a row. Nil means that
-	// nothing is known.
+	// Liveness says what is known about the claimant of a row, for example from
+	// identity.Watcher.Process. Nil means that nothing is known.
 	Liveness func(Claimant) Liveness
 	// Jitter returns a random number in [0, 1) for retry delays. Nil takes the
 	// global random source.
--- a/identity/entry.go
+++ b/identity/entry.go
@@ -20,6 +20,7 @@
 type entry struct {
 	name, zone    string
 	bootID        uint64
+	formerBoot    uint64 // the process that bootID replaced
 	token         int64
 	peerAddress   string
 	callerAddress string
@@ -137,6 +138,7 @@
 		name:        e.name,
 		zone:        zone,
 		bootID:      bootID,
+		formerBoot:  e.bootID,
 		registered:  e.registered,
 		listed:      e.listed,
 		leavingBoot: e.leavingBoot,
--- a/identity/membership.go
+++ b/identity/membership.go
@@ -223,6 +223,21 @@
 	return f
 }
 
+// Process returns the state of one process of a name: MemberGone when another
+// process has replaced it, and MemberSuspected when it is not known.
+func (m *Membership) Process(name string, bootID uint64, now time.Time) MemberState {
+	e := m.entries[name]
+	switch {
+	case e == nil || bootID == 0:
+		return MemberSuspected
+	case e.bootID == bootID:
+		return m.state(e, now)
+	case e.formerBoot == bootID:
+		return MemberGone
+	}
+	return MemberSuspected
+}
+
 // Usable returns the instances that lookups may name, ordered by name: the live
 // ones, or the suspected ones when none is live.
 func (m *Membership) Usable(now time.Time) []Member {
--- a/identity/membership_test.go
+++ b/identity/membership_test.go
@@ -191,6 +191,18 @@
 	must.Eq(t, minRemoteHeardWithin, Fleet{Instances: 7, Zones: 6, ZoneMates: 1}.Rules().RemoteHeardWithin)
 }
 
+// Guards against a claim that is reported as abandoned while its claimant works.
+func TestProcess(t *testing.T) {
+	v := &view{Membership: NewMembership("z", testRules), now: time.Now()}
+	must.Eq(t, MemberSuspected, v.Process("x", 1, v.now))
+	v.scan(1, 1, StateServing)
+	must.Eq(t, MemberLive, v.Process("x", 1, v.now))
+	must.Eq(t, MemberSuspected, v.Process("x", 2, v.now))
+	v.scan(2, 1, StateServing)
+	must.Eq(t, MemberGone, v.Process("x", 1, v.now))
+	must.Eq(t, MemberLive, v.Process("x", 2, v.now))
+}
+
 // countingList counts the calls for the instance list.
 type countingList struct {
 	*memory.Store
--- a/identity/watcher.go
+++ b/identity/watcher.go
@@ -154,6 +154,13 @@
 	return w.view.Members(time.Now())
 }
 
+// Process returns the state of one process, as Membership.Process.
+func (w *Watcher) Process(name string, bootID uint64) MemberState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view.Process(name, bootID, time.Now())
+}
+
 // Usable returns the instances that lookups may name, ordered by name.
 func (w *Watcher) Usable() []Member {
 	w.mu.Lock()
