--- a/identity/entry.go
+++ b/identity/entry.go
@@ -20,6 +20,7 @@
 type entry struct {
 	name, zone    string
 	bootID        uint64
+	formerBoot    uint64 // the process that bootID replaced
 	token         int64
 	peerAddress   string
 	callerAddress string
@@ -31,6 +32,7 @@
 
 	heardAt       time.Time // when the newest digest was sent; zero: never
 	heardDraining bool
+	directAt      time.Time // when the newest digest came without a relay
 
 	listed listed
 	// leavingBoot is the process that was known when the listing first showed
@@ -99,7 +101,26 @@
 	}
 	e.heardAt = sentAt
 	e.heardDraining = s.Draining
-	e.peerAddress, e.callerAddress = s.PeerAddress, s.CallerAddress
+	if s.Age == 0 {
+		e.directAt = sentAt
+	}
+	if s.CallerAddress != "" {
+		e.peerAddress, e.callerAddress = s.PeerAddress, s.CallerAddress
+	}
+}
+
+// sighting returns the newest direct digest for a relay to others.
+func (e *entry) sighting(now time.Time) Sighting {
+	return Sighting{
+		Name:          e.name,
+		Zone:          e.zone,
+		BootID:        e.bootID,
+		Token:         e.token,
+		PeerAddress:   e.peerAddress,
+		CallerAddress: e.callerAddress,
+		Draining:      e.heardDraining,
+		Age:           max(now.Sub(e.directAt), time.Nanosecond), // 0 means direct
+	}
 }
 
 // replacedBy reports whether a digest of another boot id comes from a newer
@@ -117,6 +138,7 @@
 		name:        e.name,
 		zone:        zone,
 		bootID:      bootID,
+		formerBoot:  e.bootID,
 		registered:  e.registered,
 		listed:      e.listed,
 		leavingBoot: e.leavingBoot,
--- a/identity/membership.go
+++ b/identity/membership.go
@@ -81,7 +81,7 @@
 	BootID        uint64
 	Token         int64 // 0 when not known
 	PeerAddress   string
-	CallerAddress string
+	CallerAddress string // with PeerAddress; empty keeps the known addresses
 	Draining      bool
 	// Age is the sum of the ages along the path; 0 when received directly.
 	Age time.Duration
@@ -181,6 +181,20 @@
 	}
 }
 
+// Direct returns the instances that this one heard without a relay within the
+// last time, ordered by name, for its digests to zone mates. Only these are
+// passed on, so that a sighting cannot circulate.
+func (m *Membership) Direct(now time.Time, within time.Duration) []Sighting {
+	var direct []Sighting
+	for _, e := range m.entries {
+		if now.Sub(e.directAt) < within && e.directAt.Equal(e.heardAt) {
+			direct = append(direct, e.sighting(now))
+		}
+	}
+	sort.Slice(direct, func(i, j int) bool { return direct[i].Name < direct[j].Name })
+	return direct
+}
+
 // Members returns all known instances ordered by name.
 func (m *Membership) Members(now time.Time) []Member {
 	members := make([]Member, 0, len(m.entries))
@@ -209,6 +223,21 @@
 	return f
 }
 
+// Process returns the state of one process of a name: MemberGone when another
+// process has replaced it, and MemberSuspected when it is not known.
+func (m *Membership) Process(name string, bootID uint64, now time.Time) MemberState {
+	e := m.entries[name]
+	switch {
+	case e == nil || bootID == 0:
+		return MemberSuspected
+	case e.bootID == bootID:
+		return m.state(e, now)
+	case e.formerBoot == bootID:
+		return MemberGone
+	}
+	return MemberSuspected
+}
+
 // Usable returns the instances that lookups may name, ordered by name: the live
 // ones, or the suspected ones when none is live.
 func (m *Membership) Usable(now time.Time) []Member {
--- a/identity/watcher.go
+++ b/identity/watcher.go
@@ -139,6 +139,14 @@
 	w.view.ApplySighting(s, now)
 }
 
+// Direct returns what the digests to zone mates pass on: the instances heard
+// without a relay within the last time.
+func (w *Watcher) Direct(within time.Duration) []Sighting {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view.Direct(time.Now(), within)
+}
+
 // Members returns all known instances ordered by name.
 func (w *Watcher) Members() []Member {
 	w.mu.Lock()
@@ -146,6 +154,13 @@
 	return w.view.Members(time.Now())
 }
 
+// Process returns the state of one process, as Membership.Process.
+func (w *Watcher) Process(name string, bootID uint64) MemberState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view.Process(name, bootID, time.Now())
+}
+
 // Usable returns the instances that lookups may name, ordered by name.
 func (w *Watcher) Usable() []Member {
 	w.mu.Lock()
