Count a majority only with a known list; pass sightings on in large zones

An instance whose list was never read took itself for the only one, and would have counted as a majority of one. Client blocks inside other blocks were refused, although look-ups take the longest prefix. In a fleet of hundreds, an instance hears most others only through its zone mates.

Change: the staleness rule gets a list only after one was read from the platform, or adopted from a peer while the platform is down, so that a replacement in a long outage serves keyed routes again. Digests to zone mates carry what an instance heard itself, once the fleet is larger than the one in which everybody hears everybody.

--- a/config/validate_routes.go
+++ b/config/validate_routes.go
@@ -98,7 +98,7 @@
 			order = append(order, i)
 		}
 	}
-	v.overlaps(list, order)
+	v.duplicates(list, order)
 }
 
 // prefix checks the form of one block.
@@ -110,22 +110,20 @@
 	return false
 }
 
-// overlaps reports blocks that lie within another one. Blocks in order of
-// address and length are nested in an earlier one or disjoint from it, so it is
-// enough to remember the last block that was not nested.
-func (v *validator) overlaps(list *path, order []int) {
+// duplicates reports blocks that are listed twice. A block may lie within another
+// one: look-ups take the longest prefix.
+func (v *validator) duplicates(list *path, order []int) {
 	blocks := v.doc.ClientBlocks
 	slices.SortStableFunc(order, func(a, b int) int {
 		return comparePrefixes(blocks[a].Prefix, blocks[b].Prefix)
 	})
-	outer := -1
-	for _, i := range order {
-		if outer < 0 || !blocks[outer].Prefix.Overlaps(blocks[i].Prefix) {
-			outer = i
+	for n := 1; n < len(order); n++ {
+		first, second := order[n-1], order[n]
+		if blocks[first].Prefix != blocks[second].Prefix {
 			continue
 		}
-		allowed := fmt.Sprintf("a block that does not overlap %s at %s", blocks[outer].Prefix, list.item(outer))
-		v.add(list.item(i).at("prefix"), blocks[i].Prefix, allowed)
+		allowed := fmt.Sprintf("a block other than the one at %s", list.item(first))
+		v.add(list.item(second).at("prefix"), blocks[second].Prefix, allowed)
 	}
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -321,6 +321,10 @@
 		must.NotEq(t, http.StatusOK, status)
 		return status == http.StatusForbidden
 	})
+	eventually(t, "keyed route with the list of a peer", func() bool {
+		status, _, _ := f.get(2, "/r/check/x", f.key)
+		return status == http.StatusOK || status == http.StatusTooManyRequests
+	})
 }
 
 // Guards against a customer that gets more than its burst through many instances.
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthrack/jacinthrack/keys"
 	"github.com/jacinthrack/jacinthrack/peer"
 	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+	"github.com/jacinthrack/jacinthrack/platform"
 )
 
 // gossipName is the name in the kernel registry.
@@ -61,6 +62,9 @@
 	if !to.Reply {
 		return d
 	}
+	if to.Zone == g.members.self.Zone {
+		d.Sightings = g.members.sightings()
+	}
 	d.Complete = known.Complete
 	d.Zones = summariesToProto(known.Zones)
 	if known.PlatformKnown {
@@ -82,6 +86,9 @@
 func (g *gossip) MergeReply(ctx context.Context, d *peerpb.Digest, roundTrip time.Duration) {
 	received := time.Now()
 	g.mergeCommon(ctx, d, roundTrip)
+	for _, s := range d.GetSightings() {
+		g.members.heard(s.GetInstance(), time.Duration(s.GetAgeMs())*time.Millisecond+roundTrip)
+	}
 	g.balancer.MergeGrants(d.GetSender().GetName(), d.GetSender().GetZone(), d.GetReservations(), roundTrip, received)
 	g.mergeKeys(ctx, d, received.Add(-roundTrip))
 }
@@ -95,7 +102,7 @@
 // mergeCommon merges what a late message cannot turn into a wrong decision.
 func (g *gossip) mergeCommon(ctx context.Context, d *peerpb.Digest, delay time.Duration) {
 	now := time.Now()
-	g.members.heard(d.GetSender())
+	g.members.heard(d.GetSender(), 0)
 	g.balancer.MergeQuarantined(d.GetQuarantined(), delay, now)
 	if g.balancer.SameRegion(d.GetSender().GetZone()) {
 		g.balancer.MergeLoads(d.GetSender().GetName(), d.GetServers(), delay, now)
@@ -108,6 +115,9 @@
 func (g *gossip) mergeKeys(ctx context.Context, d *peerpb.Digest, asOf time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
+	if !g.members.listKnown() {
+		g.adoptList(ctx, d.GetSender())
+	}
 	digest := keys.Digest{
 		Name:          d.GetSender().GetName(),
 		Zone:          d.GetSender().GetZone(),
@@ -128,6 +138,22 @@
 	}
 }
 
+// adoptList takes the list of entry instances from a peer. A replacement does this
+// when it starts while the platform is down.
+func (g *gossip) adoptList(ctx context.Context, from *peerpb.Sender) {
+	reply, err := g.peers.FetchState(ctx, from.GetPeerAddress())
+	if err != nil {
+		g.log.Warn("list of instances was not fetched", "peer", from.GetName(), "error", err)
+		return
+	}
+	var list []platform.Instance
+	for _, in := range reply.GetListed() {
+		list = append(list, platform.Instance{Name: in.GetName(), Zone: in.GetZone(), State: platform.InstanceLive})
+	}
+	g.members.adopt(list)
+	g.keys.updateListed()
+}
+
 // offer puts a newer configuration of a peer in force.
 func (g *gossip) offer(ctx context.Context, source string, version *peerpb.ConfigVersion) {
 	generation, _ := g.config.Version()
@@ -192,7 +218,16 @@
 }
 
 // State implements peer.Knowledge.
-func (g *gossip) State() *peerpb.StateReply { return stateToProto(g.keys.Export()) }
+func (g *gossip) State() *peerpb.StateReply {
+	reply := stateToProto(g.keys.Export())
+	if !g.members.listKnown() {
+		return reply
+	}
+	for _, in := range g.members.listed() {
+		reply.Listed = append(reply.Listed, &peerpb.ListedInstance{Name: in.Name, Zone: in.Zone})
+	}
+	return reply
+}
 
 func hashOf(sha256 []byte) (config.Hash, bool) {
 	var hash config.Hash
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -14,7 +14,6 @@
 	"github.com/jacinthrack/jacinthrack/kernel"
 	"github.com/jacinthrack/jacinthrack/keys"
 	"github.com/jacinthrack/jacinthrack/peer/peerpb"
-	"github.com/jacinthrack/jacinthrack/platform"
 	"github.com/jacinthrack/jacinthrack/problem"
 )
 
@@ -90,18 +89,12 @@
 }
 
 // updateListed sets the instances that count: this one and all that may still
-// serve requests.
-func (k *keyService) updateListed() { k.SetListed(k.members.listed()) }
-
-// listed returns all instances that may serve requests, this one included.
-func (m *membership) listed() []platform.Instance {
-	out := []platform.Instance{{Name: m.self.Name, Zone: m.self.Zone, State: platform.InstanceLive}}
-	for _, member := range m.watcher.Members() {
-		if member.Name != m.self.Name && member.State != identity.MemberGone {
-			out = append(out, platform.Instance{Name: member.Name, Zone: member.Zone, State: platform.InstanceLive})
-		}
+// serve requests. Nothing is set before a list is known: an instance that took
+// itself for the only one would accept keys that the others know to be withdrawn.
+func (k *keyService) updateListed() {
+	if k.members.listKnown() {
+		k.SetListed(k.members.listed())
 	}
-	return out
 }
 
 // staleness returns the bound of a route.
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/balancer"
@@ -13,6 +15,7 @@
 	"github.com/jacinthrack/jacinthrack/kernel"
 	"github.com/jacinthrack/jacinthrack/peer"
 	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+	"github.com/jacinthrack/jacinthrack/platform"
 )
 
 // membershipName is the name in the kernel registry.
@@ -29,21 +32,40 @@
 	onLost  func(error) // called when a newer process has this name
 	holder  *identity.Holder
 	watcher *identity.Watcher
+	list    *observedList
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	mu     sync.Mutex
 	drain  bool
+	// adopted is the list of a peer, which stands in until the platform's was read.
+	adopted []platform.Instance
 }
 
 func newMembership(self identity.Config, seeds []string, store Platform, log *slog.Logger, onLost func(error)) *membership {
 	m := &membership{self: self, seeds: seeds, store: store, log: log, onLost: onLost}
-	m.watcher = identity.NewWatcher(self.Zone, store, store, log)
+	m.list = &observedList{InstanceList: store}
+	m.watcher = identity.NewWatcher(self.Zone, store, m.list, log)
 	m.self.Fleet = m.watcher.Fleet
 	m.holder = identity.NewHolder(m.self, store)
 	return m
 }
 
+// observedList remembers whether the platform's list was ever read.
+type observedList struct {
+	platform.InstanceList
+	read atomic.Bool
+}
+
+// List implements platform.InstanceList.
+func (o *observedList) List(ctx context.Context) (platform.Listing, error) {
+	listing, err := o.InstanceList.List(ctx)
+	if err == nil {
+		o.read.Store(true)
+	}
+	return listing, err
+}
+
 // Name implements kernel.Service.
 func (m *membership) Name() string { return membershipName }
 
@@ -107,9 +129,14 @@
 	}
 }
 
-// heard merges the sender of a digest that has just arrived.
-func (m *membership) heard(s *peerpb.Sender) {
+// heard merges the sender of a digest that has just arrived (age 0), or one that
+// a peer heard.
+func (m *membership) heard(s *peerpb.Sender, age time.Duration) {
+	if s.GetName() == m.self.Name {
+		return
+	}
 	m.watcher.Heard(identity.Sighting{
+		Age:           age,
 		Name:          s.GetName(),
 		Zone:          s.GetZone(),
 		BootID:        s.GetBootId(),
@@ -119,6 +146,33 @@
 	})
 }
 
+// sightingAge bounds what digests to zone mates pass on: each instance hears its
+// part of the other zones within about this time.
+const sightingAge = 3 * time.Second
+
+// sightings returns the instances that this one heard itself. In a small fleet
+// everybody hears everybody, and there is nothing to pass on.
+func (m *membership) sightings() []*peerpb.Sighting {
+	if m.watcher.Fleet().Instances <= peer.SmallFleet+1 {
+		return nil
+	}
+	var out []*peerpb.Sighting
+	for _, s := range m.watcher.Direct(sightingAge) {
+		out = append(out, &peerpb.Sighting{
+			AgeMs: uint32(s.Age.Milliseconds()) + 1,
+			Instance: &peerpb.Sender{
+				Name:          s.Name,
+				Zone:          s.Zone,
+				BootId:        s.BootID,
+				PeerAddress:   s.PeerAddress,
+				CallerAddress: s.CallerAddress,
+				Draining:      s.Draining,
+			},
+		})
+	}
+	return out
+}
+
 // Instances implements peer.Directory. Suspected instances are contacted too,
 // since only contact can clear them. Seeds stand in while nobody is known.
 func (m *membership) Instances() []peer.Instance {
@@ -162,37 +216,52 @@
 	return count
 }
 
-// total returns the number of instances that may serve requests: all but those
-// that are gone.
-func (m *membership) total() int {
-	count := 1
-	for _, member := range m.watcher.Members() {
-		if member.Name != m.self.Name && member.State != identity.MemberGone {
-			count++
-		}
+// liveness says what is known of the process that holds a claim.
+func (m *membership) liveness(c claims.Claimant) claims.Liveness {
+	switch m.watcher.Process(c.Instance, c.BootID) {
+	case identity.MemberGone:
+		return claims.ClaimantGone
+	case identity.MemberLive, identity.MemberDraining:
+		return claims.ClaimantAlive
+	default:
+		return claims.LivenessUnknown
 	}
-	return count
 }
 
-// liveness says what is known of the process that holds a claim.
-func (m *membership) liveness(c claims.Claimant) claims.Liveness {
-	for _, member := range m.watcher.Members() {
-		if member.Name != c.Instance {
-			continue
-		}
-		if member.State == identity.MemberGone || member.BootID != 0 && member.BootID != c.BootID {
-			return claims.ClaimantGone
+// listKnown reports whether a list of the entry instances is known. Without one,
+// the instance cannot tell a majority.
+func (m *membership) listKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list.read.Load() || len(m.adopted) > 0
+}
+
+// adopt takes the list of a peer while the platform's was never read.
+func (m *membership) adopt(list []platform.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.adopted = list
+}
+
+// listed returns all instances that may serve requests, this one included.
+func (m *membership) listed() []platform.Instance {
+	zones := map[string]string{m.self.Name: m.self.Zone}
+	if !m.list.read.Load() {
+		m.mu.Lock()
+		for _, in := range m.adopted {
+			zones[in.Name] = in.Zone
 		}
-		if member.State == identity.MemberLive || member.State == identity.MemberDraining {
-			return claims.ClaimantAlive
+		m.mu.Unlock()
+	}
+	for _, member := range m.watcher.Members() {
+		if member.Name != m.self.Name && member.State != identity.MemberGone {
+			zones[member.Name] = member.Zone
 		}
 	}
-	return claims.LivenessUnknown
-}
-
-// valid reports whether this process still owns its name. A process that was
-// paused learns here that a replacement may have taken over.
-func (m *membership) superseded(now time.Time) bool {
-	var newer *identity.SupersededError
-	return errors.As(m.holder.Check(now), &newer)
+	var out []platform.Instance
+	for name, zone := range zones {
+		out = append(out, platform.Instance{Name: name, Zone: zone, State: platform.InstanceLive})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
 }
--- a/forward/body.go
+++ b/forward/body.go
@@ -106,9 +106,6 @@
 	return &requestBody{held: held, rest: src, length: r.ContentLength}, nil
 }
 
-// whole reports whether the entire body is held.
-func (b *requestBody) whole() bool { return b.rest == nil }
-
 // replayable reports whether the body can be sent now.
 func (b *requestBody) replayable() bool { return b.rest == nil || !b.used.Load() }
 
--- a/peer/service.go
+++ b/peer/service.go
@@ -83,7 +83,6 @@
 		// Small buffers: an instance holds tens of mostly idle connections.
 		grpc.ReadBufferSize(4 << 10),
 		grpc.WriteBufferSize(4 << 10),
-		grpc.SharedWriteBuffer(true),
 	}
 	if s.certs != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(s.certs.ServerConfig())))
@@ -129,7 +128,6 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithReadBufferSize(4 << 10),
 		grpc.WithWriteBufferSize(4 << 10),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: ExchangeTimeout}),
 	}
