claims: do not refuse a known order as if it had never run

Cause: with the platform down, a caller that sent an order again was refused with *UnavailableError, which reads as "not run", although this process had run or seen the order. Broken on purpose and restored: without the check, or without remembering sent requests, the new case gets *UnavailableError; without forgetting released keys 'platform down after a release was seen' gets *PriorUnreadableError. Open: an instance that has never seen the key cannot know; the error speaks for its own request only.

--- a/claims/begin.go
+++ b/claims/begin.go
@@ -27,8 +27,8 @@
 //   - *InvalidRequestError: a part of the request's name is missing.
 //   - *UnavailableError: no claim could be written.
 //   - *KeyReusedError: the key belongs to a different request.
-//   - *PriorUnreadableError: an earlier request exists and may have run, but its
-//     claim or outcome cannot be read now.
+//   - *PriorUnreadableError: an earlier request is known to this process and may
+//     have run, but its claim or outcome cannot be read now.
 //
 // A cancelled ctx yields *UnavailableError; a claim row that was written anyway
 // is released in the background.
@@ -38,7 +38,7 @@
 	}
 	c, existing, err := s.enter(req)
 	if err != nil {
-		return nil, nil, &UnavailableError{Err: err}
+		return nil, nil, s.notClaimed(req.RowKey(), err)
 	}
 	if existing != nil {
 		prior, err := existing.prior(req.Fingerprint)
@@ -79,11 +79,11 @@
 	res, inFlight, err := s.writer.do(ctx, rw)
 	if inFlight {
 		go s.releaseLate(c, rw)
-		return nil, &UnavailableError{Err: err}
+		return nil, s.notClaimed(c.key, err)
 	}
 	if err != nil {
 		s.leave(c)
-		return nil, &UnavailableError{Err: err}
+		return nil, s.notClaimed(c.key, err)
 	}
 	return s.claimResult(c, res)
 }
@@ -94,7 +94,7 @@
 		if res.conflict {
 			return nil, &PriorUnreadableError{Err: res.err}
 		}
-		return nil, &UnavailableError{Err: res.err}
+		return nil, s.notClaimed(c.key, res.err)
 	}
 	if res.fate == fateConflict {
 		return &res.row, nil
@@ -103,6 +103,16 @@
 	return nil, nil
 }
 
+// notClaimed returns the error of a Begin that wrote no claim. When this process
+// has seen an earlier claim on the key, the refusal must not read as if the order
+// had never run.
+func (s *Store) notClaimed(key string, err error) error {
+	if s.hasSeen(key) {
+		return &PriorUnreadableError{Err: err}
+	}
+	return &UnavailableError{Err: err}
+}
+
 // dropUnwritten gives up a claim whose write failed. A write that may still be
 // applied is fenced off first.
 func (s *Store) dropUnwritten(c *Claim, res writeResult) {
@@ -156,6 +166,7 @@
 	decision := Decide(f, record, s.observe(row, record))
 	switch decision {
 	case DecideClaim:
+		s.forget(row.Key)
 		return nil, true, nil
 	case DecideKeyReused:
 		return nil, false, &KeyReusedError{Row: row.Key}
@@ -168,7 +179,7 @@
 
 func (s *Store) observe(row platform.Row, record Record) Observation {
 	o := Observation{InProgressFor: s.config.InProgressFor}
-	if record.State != StateClaimed {
+	if record.State == StateReleased {
 		return o
 	}
 	o.UnchangedFor = s.unchangedFor(row, time.Now())
--- a/claims/claim.go
+++ b/claims/claim.go
@@ -140,6 +140,13 @@
 	return &Prior{Decision: decision}, nil
 }
 
+// wasSent reports whether bytes may have reached a backend server.
+func (c *Claim) wasSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseSent || c.phase == phaseRecording
+}
+
 // rowVersion returns the version that the next write of the row must find.
 func (c *Claim) rowVersion() int64 {
 	c.mu.Lock()
--- a/claims/errors.go
+++ b/claims/errors.go
@@ -26,7 +26,8 @@
 }
 
 // UnavailableError reports that no claim could be written. This request has not
-// run and will not run. It says nothing about earlier requests with the key.
+// run and will not run. It says nothing about earlier requests with the key that
+// only other instances have seen.
 type UnavailableError struct{ Err error }
 
 func (e *UnavailableError) Error() string {
--- a/claims/store.go
+++ b/claims/store.go
@@ -79,7 +79,7 @@
 
 // observedRow remembers since when a row version has been seen.
 type observedRow struct {
-	version int64
+	version int64 // 0: this process sent the request itself
 	since   time.Time
 }
 
@@ -162,6 +162,9 @@
 		return
 	}
 	delete(s.active, c.key)
+	if c.wasSent() {
+		s.observeLocked(c.key, 0, time.Now())
+	}
 	s.signalIdle()
 }
 
@@ -190,15 +193,35 @@
 	if seen, ok := s.observed[row.Key]; ok && seen.version == row.Version {
 		return now.Sub(seen.since)
 	}
+	s.observeLocked(row.Key, row.Version, now)
+	return 0
+}
+
+func (s *Store) observeLocked(key string, version int64, now time.Time) {
 	if len(s.observed) >= MaxObserved {
 		s.forgetOne()
 	}
-	s.observed[row.Key] = observedRow{version: row.Version, since: now}
-	return 0
+	s.observed[key] = observedRow{version: version, since: now}
+}
+
+// hasSeen reports whether a claim that may have run was seen on the row.
+func (s *Store) hasSeen(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.observed[key]
+	return ok
+}
+
+// forget drops the observation of a row that was released.
+func (s *Store) forget(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.observed, key)
 }
 
 // forgetOne drops an arbitrary observation. Its row is then reported as "in
-// progress" for longer, which is safe.
+// progress" for longer, and a refusal during an outage only speaks for the
+// request at hand.
 func (s *Store) forgetOne() {
 	for key := range s.observed {
 		delete(s.observed, key)
--- a/claims/store_test.go
+++ b/claims/store_test.go
@@ -224,6 +224,24 @@
 		p.a.link.set(down, callFault{})
 		fails[*PriorUnreadableError](p, p.a, order("x"))
 	}},
+	{"platform down when an order that ran is sent again", func(p pair) {
+		c := p.run(p.a, order("x"))
+		must.NoError(p, c.Complete(context.Background(), response))
+		p.gets(p.b, order("x"), DecideStored)
+		p.a.link.set(down)
+		p.b.link.set(down)
+		fails[*PriorUnreadableError](p, p.a, order("x"))
+		fails[*PriorUnreadableError](p, p.b, order("x"))
+		fails[*UnavailableError](p, p.b, orderWithKey("new", "x"))
+	}},
+	{"platform down after a release was seen", func(p pair) {
+		c := p.claim(p.a, order("x"))
+		p.gets(p.b, order("x"), DecideInProgress)
+		must.NoError(p, c.Release(context.Background()))
+		must.NoError(p, p.claim(p.b, order("x")).Release(context.Background()))
+		p.b.link.set(down)
+		fails[*UnavailableError](p, p.b, order("x"))
+	}},
 	{"large outcome", func(p pair) {
 		large := Outcome{Status: 201, Body: bytes.Repeat([]byte("x"), InlineBytes+1)}
 		c := p.run(p.a, order("x"))
