--- a/command/benchplan.go
+++ b/command/benchplan.go
@@ -48,6 +48,7 @@
 		Lookups:      bench.Lookups{PerSecond: lookupsPerSecond},
 		CheckAnswers: true,
 		Backends:     doc.BackendServers,
+		Overhead:     overheadOf(doc),
 	}
 	for i, customer := range doc.Customers {
 		granted, err := client.Grant(ctx, operatorapi.GrantRequest{Customer: customer.Name})
@@ -67,6 +68,41 @@
 	return plan, nil
 }
 
+// overheadSamples is the number of pairs of direct and forwarded requests.
+const overheadSamples = 200
+
+// overheadOf compares forwarded with direct requests of the first plain look-up.
+func overheadOf(doc *config.Document) *bench.Overhead {
+	for _, kind := range mixOf(doc) {
+		if kind.Method != http.MethodGet {
+			continue
+		}
+		for _, server := range doc.BackendServers {
+			if route := routeOf(doc, kind.Route); route.Service == server.Service {
+				return &bench.Overhead{
+					Samples:    overheadSamples,
+					Route:      kind.Route,
+					Path:       kind.Path,
+					Direct:     server.Address,
+					DirectPath: kind.Path,
+					Customer:   doc.Customers[0].Name,
+					Pause:      config.Duration(10 * time.Millisecond),
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func routeOf(doc *config.Document, name string) config.Route {
+	for _, route := range doc.Routes {
+		if route.Name == name {
+			return route
+		}
+	}
+	return config.Route{}
+}
+
 // surgeOf lets the first customer send several times its rate in the middle third
 // of each period.
 func surgeOf(customer int, o benchOptions) *bench.Surge {
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -119,10 +119,12 @@
 
 // sender returns this instance's part of every digest.
 func (m *membership) sender() *peerpb.Sender {
+	registration := m.holder.Registration()
 	return &peerpb.Sender{
 		Name:          m.self.Name,
 		Zone:          m.self.Zone,
-		BootId:        m.holder.Registration().BootID,
+		BootId:        registration.BootID,
+		Token:         registration.Token,
 		PeerAddress:   m.self.PeerAddress,
 		CallerAddress: m.self.CallerAddress,
 		Draining:      m.draining(),
@@ -140,6 +142,7 @@
 		Name:          s.GetName(),
 		Zone:          s.GetZone(),
 		BootID:        s.GetBootId(),
+		Token:         s.GetToken(),
 		PeerAddress:   s.GetPeerAddress(),
 		CallerAddress: s.GetCallerAddress(),
 		Draining:      s.GetDraining(),
@@ -164,6 +167,7 @@
 				Name:          s.Name,
 				Zone:          s.Zone,
 				BootId:        s.BootID,
+				Token:         s.Token,
 				PeerAddress:   s.PeerAddress,
 				CallerAddress: s.CallerAddress,
 				Draining:      s.Draining,
