limits: lend tokens to a request that waits at another instance

Change: a holder lends whole tokens and keeps the room that they filled empty until they can no longer be used (250 ms and a margin); the borrower uses them at once or drops them. A write that would leave lent tokens without room waits.

Ruled out: moving burst with the tokens, which needs a table write and its round trip; a longer term, which would let the lender's room stand empty.

The property over random interleavings now borrows as well.

--- a/limits/bucket.go
+++ b/limits/bucket.go
@@ -11,6 +11,7 @@
 	share  Share
 	tokens float64 // requests
 	last   time.Time
+	loans  []loan
 }
 
 // NewBucket returns a bucket with the share s. A full bucket starts with all its
@@ -30,17 +31,33 @@
 func (b *Bucket) Tokens() float64 { return b.tokens }
 
 // Fill sets the tokens to the burst.
-func (b *Bucket) Fill() { b.tokens = b.share.Burst.Float() }
+func (b *Bucket) Fill() { b.tokens = b.room(b.last) }
 
 // Advance adds the tokens earned until now. A time before the last one changes
 // nothing.
 func (b *Bucket) Advance(now time.Time) {
+	for {
+		// Room that a loan took comes back in steps.
+		at, more := b.nextRelease(now)
+		b.earn(at)
+		if !more {
+			break
+		}
+	}
+	if len(b.loans) > 0 {
+		b.forgetLoans(b.last)
+	}
+}
+
+// earn adds the tokens earned until now, while the loans stay the same.
+func (b *Bucket) earn(now time.Time) {
 	elapsed := now.Sub(b.last)
 	if elapsed <= 0 {
 		return
 	}
+	room := b.room(b.last)
 	b.last = now
-	b.tokens = min(b.share.Burst.Float(), b.tokens+b.share.Rate.Float()*elapsed.Seconds())
+	b.tokens = min(room, b.tokens+b.share.Rate.Float()*elapsed.Seconds())
 }
 
 // SetShare changes the share at the time now. Tokens above the new burst are
@@ -48,7 +65,7 @@
 func (b *Bucket) SetShare(s Share, now time.Time) {
 	b.Advance(now)
 	b.share = s
-	b.tokens = min(b.tokens, s.Burst.Float())
+	b.tokens = min(b.tokens, b.room(b.last))
 }
 
 // Take takes cost tokens if the bucket has them. cost is in requests.
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -33,6 +33,7 @@
 	lastWrite  time.Time
 	lastUrgent time.Time
 	closed     bool
+	lendPaused bool // see holdsBack
 
 	using  Entry // floor and lease that the bucket has now
 	bucket Bucket
@@ -193,7 +194,7 @@
 		return Proposal{}, false
 	}
 	next, due := decide(h.view(demand, now))
-	if !due {
+	if !due || h.holdsBack(burstOf(next, h.id), now) {
 		return Proposal{}, false
 	}
 	return h.send(next, now), true
@@ -212,7 +213,7 @@
 func (h *Holder) Leave(now time.Time) (Proposal, bool) {
 	h.closed = true
 	h.use(Share{}, Share{}, now)
-	if h.Left() {
+	if h.Left() || h.holdsBack(0, now) {
 		return Proposal{}, false
 	}
 	i := h.row.index(h.id)
@@ -223,6 +224,11 @@
 	return h.send(next, now), true
 }
 
+func burstOf(l Ledger, id string) Amount {
+	e, _ := l.Find(id)
+	return e.Held().Burst
+}
+
 // Left reports whether the ledger has no entry of this holder and no write of it
 // is open.
 func (h *Holder) Left() bool { return h.row.index(h.id) < 0 && len(h.attempts) == 0 }
--- a/limits/invariant_test.go
+++ b/limits/invariant_test.go
@@ -58,6 +58,16 @@
 				w.decide(first)
 			}
 		},
+		"borrow": func(t *rapid.T) {
+			travel := time.Duration(rapid.IntRange(0, 300).Draw(t, "travel ms")) * time.Millisecond
+			w.borrow(w.pick(), w.pick(), rapid.IntRange(1, 40).Draw(t, "tokens"), travel)
+		},
+		"use loans": func(*rapid.T) { w.useLoans() },
+		"drain all and use loans": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			w.drainAll()
+			w.useLoans()
+		},
 		"write decided": func(t *rapid.T) { w.land(flying(t), true) },
 		"reply delayed": func(t *rapid.T) { w.decide(flying(t)) },
 		"reply lost":    func(t *rapid.T) { w.land(flying(t), false) },
--- a/limits/step.go
+++ b/limits/step.go
@@ -39,7 +39,11 @@
 	m.steps.Lock()
 	defer m.steps.Unlock()
 	var errs []error
-	for range releaseTries {
+	for try := range releaseTries {
+		if try > 0 {
+			// Lent tokens keep a process in its ledger until they have ended.
+			sleepFor(ctx, loanHold)
+		}
 		errs = nil
 		if err := m.readAll(ctx); err != nil {
 			errs = append(errs, &StepError{Op: "read", Err: err})
@@ -52,6 +56,16 @@
 	return errs
 }
 
+// sleepFor waits for d or until ctx is done.
+func sleepFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // left reports whether this process is in no ledger.
 func (m *Manager) left() bool {
 	for _, s := range *m.slots.Load() {
--- a/limits/world_test.go
+++ b/limits/world_test.go
@@ -23,6 +23,14 @@
 	hot     *proc // where callers go
 	flights []*flight
 	exact   Bucket
+	loans   []borrowed
+}
+
+// borrowed is a loan on its way to a borrower, or waiting there.
+type borrowed struct {
+	by     *proc
+	tokens float64
+	until  time.Time // on the borrower's clock
 }
 
 // proc is a process with its own clock, which has its own zero.
@@ -85,6 +93,28 @@
 	}
 }
 
+// borrow asks a lender. The reply is under way until it is used or lost.
+func (w *world) borrow(by, from *proc, want int, travel time.Duration) {
+	until := w.clock(by).Add(LoanTerm)
+	w.advance(travel)
+	tokens, _ := from.holder.Lend(float64(want), w.clock(from))
+	w.loans = append(w.loans, borrowed{by: by, tokens: tokens, until: until})
+}
+
+// useLoans admits requests with all borrowed tokens that may still be used.
+func (w *world) useLoans() {
+	w.exact.Advance(w.now)
+	for _, l := range w.loans {
+		if w.clock(l.by).Before(l.until) {
+			w.exact.tokens -= l.tokens
+		}
+	}
+	w.loans = nil
+	if w.exact.tokens < -1e-6 {
+		w.t.Fatalf("over-admission with loans: %g requests above burst + rate·t", -w.exact.tokens)
+	}
+}
+
 // checkUse requires that the shares in use together stay within what the exact
 // bucket may have. No part of a limit then has two users at one time.
 func (w *world) checkUse() {
