trace: test the outcomes; placement: bound borrowing by the reported use

Cause: the replay had no tests. Replayed with the third region as the only one left, its instances still sent 17 to 19 requests into 16 slots: an instance was bounded by its peak since the last digest, while the others only knew its use at the time of the digest.

Change: the bound is the reported use. Policy.NoSpill shows what spill contributes.

Seen failing on broken code: - closing responses never prove a drain, or peers' states all count as drains: TestUnannouncedDrain - quarantine never reached: TestCrashRequest - grants not enforced: TestEveryTrace (region-failure, region-servers-fail) - no retry budget: TestRetryLoadInOutage - no spill: TestSpill.

--- a/placement/book.go
+++ b/placement/book.go
@@ -49,10 +49,8 @@
 // pool holds the servers of a service.
 type pool struct {
 	entries []*entry // sorted by name
-	// peak is this instance's largest use of its own region since the last digest,
-	// last the same for the digest before.
-	peak int
-	last int
+	// reported is this instance's use of its own region in the last digest.
+	reported int
 }
 
 // entry is one server in the book.
@@ -173,11 +171,9 @@
 	if p == nil {
 		return Decision{}
 	}
-	v := b.view(p, in, now)
-	d := Choose(req, v, rng)
+	d := Choose(req, b.view(p, in, now), rng)
 	if e := b.servers[d.Server]; e != nil {
 		e.inUse++
-		p.peak = max(p.peak, b.ownUse(p))
 	}
 	return d
 }
@@ -217,7 +213,7 @@
 	defer b.mu.Unlock()
 	out := make([]Load, 0, len(b.servers))
 	for service, pool := range b.services {
-		pool.last, pool.peak = pool.peak, b.ownUse(pool)
+		pool.reported = b.ownUse(pool)
 		left := reserved(service)
 		for _, e := range pool.entries {
 			part := 0
@@ -283,7 +279,7 @@
 		Candidates: b.scratch,
 		Spill:      in.Spill,
 		Reserved:   in.Reserved,
-		LastPeak:   p.last,
+		Reported:   p.reported,
 		Policy:     in.Policy,
 	}
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -104,10 +104,10 @@
 // The load of single servers is rounded to whole slots; what this adds up to stays
 // within the instance's part of the margin that the maximum utilization leaves. Up to
 // its static share an instance may always raise its use. Above, it borrows what others
-// reported as unused, and all of them may do so at once; until the others have heard
-// of it, an instance borrows at most its part of the margin.
+// reported as unused, and all of them may do so at once; beyond what it reported itself,
+// an instance borrows at most its part of the margin.
 func (r *region) closed(v View) Why {
-	bound := max(r.share, v.LastPeak) + max(1, int(r.margin))
+	bound := max(r.share, v.Reported) + max(1, int(r.margin))
 	left := r.left + r.margin + rounding
 	switch {
 	case left < 1:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,9 +93,9 @@
 	// Reserved is the number of requests that this instance has granted to other
 	// regions for the service. That much room stays free in the own region.
 	Reserved int
-	// LastPeak is this instance's largest number of requests in progress in its own
-	// region that the other instances have heard of.
-	LastPeak int
+	// Reported is the number of requests in progress in the own region that this
+	// instance reported in its last digest.
+	Reported int
 	Policy   config.Policy
 }
 
--- a/trace/decisions.go
+++ b/trace/decisions.go
@@ -55,7 +55,7 @@
 	now := d.r.time()
 	spill := make(map[string]error, len(d.r.regions))
 	for _, region := range d.r.regions {
-		if region != d.e.Region {
+		if region != d.e.Region && !d.r.policy.NoSpill {
 			spill[region] = d.holder.Check(headroom.Spill{Region: region, Service: service}, now)
 		}
 	}
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -23,7 +23,7 @@
 	nearDelay    = 500 * time.Microsecond
 	remoteDelay  = 10 * time.Millisecond // one way, between regions
 	deadline     = 2 * time.Second
-	pollInterval = 10 * time.Millisecond // while a request waits for room
+	pollInterval = 20 * time.Millisecond // while a request waits for room
 	tickInterval = time.Second
 	// listLag is the age of the platform's list of entry instances.
 	listLag = 10 * time.Second
--- a/trace/steer.go
+++ b/trace/steer.go
@@ -19,6 +19,8 @@
 	Config config.Policy `json:"config"`
 	// NoRetryBudget lets every retry that is safe happen.
 	NoRetryBudget bool `json:"no_retry_budget,omitempty"`
+	// NoSpill keeps requests in the region of their entry instance.
+	NoSpill bool `json:"no_spill,omitempty"`
 }
 
 // Baseline is a simple policy over the servers of the entry instance's region. It
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -70,10 +70,10 @@
 	// connections are refused. At Until the server is back with cold caches.
 	KindDrain Kind = "drain"
 	// KindRestart: requests in progress break, connections are refused until Until;
-	// then the caches are cold. Entry instances die as well if their name, zone or
-	// region is given and KindFail is used.
+	// then the caches are cold.
 	KindRestart Kind = "restart"
-	KindFail    Kind = "fail"
+	// KindFail: as KindRestart, and selected entry instances are dead until Until.
+	KindFail Kind = "fail"
 	// KindShed: Value is the share of requests answered with 503.
 	KindShed Kind = "shed"
 	// KindLag: reports between entry instances arrive Value seconds late.
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,268 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/quarantine"
+	"github.com/shoenig/test/must"
+)
+
+// users are the policies that use the decision packages.
+func users() []Policy { return []Policy{Abyssinia(), Boateng()} }
+
+func load(t *testing.T, name string) *Trace {
+	t.Helper()
+	tr, err := ReadFile(filepath.Join("testdata", name+".json"))
+	must.NoError(t, err)
+	return tr
+}
+
+// replays holds the results by trace and policy; a replay always gives the same.
+var replays sync.Map
+
+func replayOnce(t *testing.T, tr *Trace, p Policy) Measures {
+	t.Helper()
+	replay := sync.OnceValues(func() (Measures, error) { return Replay(tr, p) })
+	known, _ := replays.LoadOrStore(tr.Name+"/"+p.Name, replay)
+	m, err := known.(func() (Measures, error))()
+	must.NoError(t, err)
+	return m
+}
+
+// replayUsers replays a trace with the users' policies.
+func replayUsers(t *testing.T, name string, check func(t *testing.T, tr *Trace, m Measures)) {
+	tr := load(t, name)
+	for _, p := range users() {
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			check(t, tr, replayOnce(t, tr, p))
+		})
+	}
+}
+
+// Guards, in every recorded trace, against requests that end without a result, against
+// refusals without a type, and against a region that gets more work than it has slots.
+// The counts of other entry instances are up to a second old; therefore each instance
+// of a region may be wrong by one request.
+func TestEveryTrace(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	must.NoError(t, err)
+	must.GreaterEq(t, 7, len(files))
+	typed := []string{
+		"*placement.NoServerError", "*headroom.RefusedError", "*quarantine.QuarantinedError",
+		"*quarantine.ProbationError", "*trace.overRateError",
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".json")
+		t.Run(name, func(t *testing.T) {
+			replayUsers(t, name, func(t *testing.T, tr *Trace, m Measures) {
+				sum := m.Completed + m.Failed
+				for kind, n := range m.Refusals {
+					must.SliceContains(t, typed, kind)
+					sum += n
+				}
+				must.Eq(t, m.Requests, sum)
+				instances, slots := map[string]int{}, map[string]int{}
+				for _, in := range tr.Instances {
+					instances[in.Region]++
+				}
+				for _, g := range tr.Servers {
+					slots[g.Region] += g.Count * g.Slots
+				}
+				for region, load := range m.PeakLoad {
+					must.LessEq(t, float64(slots[region]+instances[region]), load*float64(slots[region]))
+				}
+			})
+		})
+	}
+}
+
+// Guards against refusals and failures that nothing in the trace explains.
+func TestSteady(t *testing.T) {
+	replayUsers(t, "steady", func(t *testing.T, _ *Trace, m Measures) {
+		must.Less(t, m.Requests/100, m.RefusedWithinRate+m.Failed)
+	})
+}
+
+// Guards against new work at a draining server more than 3 s after the drain began,
+// the time in which every instance has seen a sign of it.
+func TestUnannouncedDrain(t *testing.T) {
+	replayUsers(t, "unannounced-drain", func(t *testing.T, _ *Trace, m Measures) {
+		must.Positive(t, m.LastNewWork)
+		must.Less(t, 3*time.Second, m.LastNewWork.Std())
+		must.Less(t, 3*time.Second+deadline, m.DrainTime.Std())
+	})
+}
+
+// Guards against failed requests long after a region is gone: what does not fit into
+// the other regions must be refused early, not fail.
+func TestRegionsFailing(t *testing.T) {
+	for _, name := range []string{"region-failure", "two-regions-failing"} {
+		t.Run(name, func(t *testing.T) {
+			replayUsers(t, name, func(t *testing.T, tr *Trace, m Measures) {
+				must.Greater(t, m.Failed, m.Completed)
+				must.Less(t, m.Requests/20, m.Failed)
+			})
+		})
+	}
+	replayUsers(t, "two-regions-failing", func(t *testing.T, tr *Trace, m Measures) {
+		must.Positive(t, m.Refusals["*placement.NoServerError"])
+		must.LessEq(t, 1.0, m.PeakLoad["addis"])
+	})
+}
+
+// Guards against refusals when one of the seven entry instances is lost, the load for
+// which the system is designed.
+func TestOneInstanceLost(t *testing.T) {
+	replayUsers(t, "one-instance-lost", func(t *testing.T, _ *Trace, m Measures) {
+		must.Less(t, m.Requests/50, m.RefusedWithinRate+m.Failed)
+	})
+}
+
+// Guards against a region without servers that gets no help from the others.
+func TestSpill(t *testing.T) {
+	t.Parallel()
+	tr := load(t, "region-servers-fail")
+	for _, p := range users() {
+		with := replayOnce(t, tr, p)
+		p.NoSpill = true
+		without, err := Replay(tr, p)
+		must.NoError(t, err)
+		t.Logf("%s: %d completed with spill, %d without", p.Name, with.Completed, without.Completed)
+		must.Greater(t, without.Completed, with.Completed)
+	}
+}
+
+// Guards against instances that keep using what others reported last as unused, and
+// against instances that refuse everything: measurements are late and then stop, and a
+// region then gets three times its traffic.
+func TestMeasurementsStop(t *testing.T) {
+	replayUsers(t, "measurements-stop", func(t *testing.T, _ *Trace, m Measures) {
+		must.Greater(t, m.Requests*3/4, m.Completed)
+		for _, load := range m.PeakLoad {
+			must.LessEq(t, 1.0, load)
+		}
+	})
+}
+
+// Guards against a request that crashes server after server. The bound follows from
+// two sends per second, with bursts of up to four, and the two seconds between digests
+// of two regions.
+func TestCrashRequest(t *testing.T) {
+	replayUsers(t, "crash-request", func(t *testing.T, tr *Trace, m Measures) {
+		spread := quarantine.Spread{
+			Instances: len(tr.Instances), Copies: 1,
+			Resend: 250 * time.Millisecond, Lag: 2 * time.Second,
+		}
+		must.Positive(t, m.Crashes)
+		must.LessEq(t, spread.MaxCrashes(), m.Crashes)
+		must.Positive(t, m.Refusals["*quarantine.QuarantinedError"])
+	})
+}
+
+// Guards against a customer that sends five times its rate at the cost of others.
+func TestCustomerFiveTimes(t *testing.T) {
+	replayUsers(t, "customer-five-times", func(t *testing.T, _ *Trace, m Measures) {
+		must.Greater(t, m.Requests/10, m.Refusals["*trace.overRateError"])
+		must.Less(t, 0.02, m.WorstCustomerShare)
+	})
+}
+
+// Guards against retries that multiply the load of an outage: with budgets the servers
+// get at most 10% more attempts than requests, or one per second for each of the eight
+// customers at each of the seven instances, whichever is more.
+func TestRetryLoadInOutage(t *testing.T) {
+	t.Parallel()
+	tr := load(t, "service-outage")
+	// The first second may use the budget of ten seconds.
+	during, after := slices.Collect(seq(7, 15)), slices.Collect(seq(16, 25))
+	sum := func(m Measures, seconds []int) (n int) {
+		for _, s := range seconds {
+			n += m.Attempts[s]
+		}
+		return n
+	}
+	for _, p := range users() {
+		budget := replayOnce(t, tr, p)
+		p.NoRetryBudget = true
+		none, err := Replay(tr, p)
+		must.NoError(t, err)
+		perSecond := budget.Requests / 25
+		bound := len(during) * (perSecond + max(perSecond/10, 8*7))
+		must.LessEq(t, bound*11/10, sum(budget, during)) // arrivals vary by second
+		must.Greater(t, bound*11/10, sum(none, during))
+		must.LessEq(t, bound*11/10, sum(budget, after))
+		t.Logf("%s: requests per second %d; attempts in the outage %d with budgets, %d without; after it %d and %d",
+			p.Name, perSecond, sum(budget, during)/len(during), sum(none, during)/len(during),
+			sum(budget, after)/len(after), sum(none, after)/len(after))
+	}
+}
+
+func seq(from, to int) func(yield func(int) bool) {
+	return func(yield func(int) bool) {
+		for i := from; i < to && yield(i); i++ {
+		}
+	}
+}
+
+// Guards against replays that differ from run to run, and against a table that cannot
+// be read back or lacks a policy.
+func TestCompare(t *testing.T) {
+	t.Parallel()
+	tr := load(t, "unannounced-drain")
+	policies := append(Policies(), Policy{Name: "unknown", Baseline: "unknown"})
+	first, second := Compare(tr, policies), Compare(tr, policies)
+	a, err := json.Marshal(first)
+	must.NoError(t, err)
+	b, err := json.Marshal(second)
+	must.NoError(t, err)
+	must.Eq(t, string(a), string(b))
+	must.SliceLen(t, 5, first.Rows)
+	must.SliceLen(t, 1, first.Errors)
+	var back Table
+	must.NoError(t, json.Unmarshal(a, &back))
+	must.Eq(t, first.Rows[4].LatencyP99, back.Rows[4].LatencyP99)
+	var text bytes.Buffer
+	must.NoError(t, first.WriteText(&text))
+	for _, p := range policies {
+		must.StrContains(t, text.String(), p.Name)
+	}
+}
+
+// Guards against a mistyped trace that is replayed as something else.
+func TestInvalidTraces(t *testing.T) {
+	valid, err := os.ReadFile("testdata/steady.json")
+	must.NoError(t, err)
+	changes := map[string][2]string{
+		"unknown field":    {`"seed"`, `"sead"`},
+		"duration":         {`"20s"`, `"0s"`},
+		"slots":            {`"slots": 4`, `"slots": 0`},
+		"unknown customer": {`"customer": "bole"`, `"customer": "bolo"`},
+		"rate":             {`"per_second": 12.5`, `"per_second": 0`},
+		"behavior":         {`"behaviors": []`, `"behaviors": [{"kind": "explode"}]`},
+		"not JSON":         {`{`, ``},
+	}
+	for _, name := range slices.Sorted(maps.Keys(changes)) {
+		t.Run(name, func(t *testing.T) {
+			changed := strings.Replace(string(valid), changes[name][0], changes[name][1], 1)
+			must.NotEq(t, string(valid), changed)
+			file := filepath.Join(t.TempDir(), "trace.json")
+			must.NoError(t, os.WriteFile(file, []byte(changed), 0o600))
+			_, err := ReadFile(file)
+			var invalid *InvalidError
+			must.True(t, errors.As(err, &invalid))
+		})
+	}
+	_, err = ReadFile("testdata/missing.json")
+	must.ErrorIs(t, err, os.ErrNotExist)
+}
