limits: check managers on the in-memory platform at random steps

Cause: the random interleavings used their own table; the adapter on platform/memory was tested with fixed fault rates only.

Change: a rapid property steps managers on platform/memory while scans, reads and writes fail or lose replies, an instance is cut off and others restart beside their old process. It runs 30 cases, because a case takes about ten times as long as those of the other properties.

--- a/fairqueue/queue_test.go
+++ b/fairqueue/queue_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,11 +195,8 @@
 }
 
 func without(t *rapid.T, ids []ID, id ID) []ID {
-	for i := range ids {
-		if ids[i] == id {
-			return append(append([]ID(nil), ids[:i]...), ids[i+1:]...)
-		}
+	if !slices.Contains(ids, id) {
+		t.Fatalf("request %d is not in %v", id, ids)
 	}
-	t.Fatalf("request %d is not in %v", id, ids)
-	return nil
+	return slices.DeleteFunc(slices.Clone(ids), func(o ID) bool { return o == id })
 }
--- /dev/null
+++ b/limits/store_test.go
@@ -0,0 +1,87 @@
+package limits
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthrack/jacinthrack/platform/memory"
+)
+
+// Guards against over-admission by managers on the in-memory platform when calls
+// fail or lose their replies and instances restart beside their old process.
+func TestManagersStayWithinLimitAtRandomSteps(t *testing.T) {
+	// A run is about ten times as long as those of the other properties.
+	checks := flag.Lookup("rapid.checks").Value
+	before := checks.String()
+	must.NoError(t, checks.Set("30"))
+	t.Cleanup(func() { _ = checks.Set(before) })
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		store := memory.New()
+		limit := Limit{Name: testLimit, RatePerSecond: 20, Burst: 20}
+		exact := NewBucket(limit.Share(), true, now)
+		var managers []*Manager
+		boot := func(instance string) {
+			m := NewManager(Options{
+				Table: store, ID: fmt.Sprintf("%s/%d", instance, len(managers)), Instance: instance,
+				Clock: func() time.Time { return now }, Parallel: 1,
+			})
+			_ = m.SetLimits(1, []Limit{limit})
+			managers = append(managers, m)
+		}
+		boot("a")
+		boot("b")
+		pick := func(t *rapid.T) *Manager { return rapid.SampledFrom(managers).Draw(t, "manager") }
+		step := func(t *rapid.T, m *Manager) {
+			faults := rapid.SampledFrom([]map[memory.OpKind]memory.Fault{
+				{}, {}, {memory.OpScan: {Down: true}}, {memory.OpTransact: {Down: true}},
+				{memory.OpTransact: {LoseReply: true}},
+				{memory.OpTransact: {LoseReply: true}, memory.OpRead: {Down: true}},
+			}).Draw(t, "faults")
+			store.SetFault(func(op memory.Op) memory.Fault { return faults[op.Kind] })
+			m.Step(t.Context())
+		}
+		drain := func(m *Manager) {
+			for m.Allow(testLimit, 1, now).Allowed {
+				if !exact.Take(1-1e-9, now) {
+					t.Fatalf("a request was admitted above burst + rate·t")
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) { step(t, pick(t)) },
+			"busy": func(t *rapid.T) {
+				hot, cutOff := pick(t), pick(t)
+				for range rapid.IntRange(1, 14).Draw(t, "seconds") {
+					now = now.Add(time.Second)
+					(*hot.slots.Load())[testLimit].holder.Offer(100)
+					for _, m := range managers {
+						drain(m)
+						if m != cutOff {
+							step(t, m)
+						}
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				var sum Share
+				for _, m := range managers {
+					sum = sum.Plus(m.Shares(now)[testLimit])
+				}
+				if !sum.Within(limit.Share()) {
+					t.Fatalf("shares in use sum to %+v", sum)
+				}
+			},
+			"restart": func(t *rapid.T) {
+				if len(managers) < 6 {
+					boot(pick(t).opts.Instance)
+				}
+			},
+		})
+	})
+}
--- a/limits/world_test.go
+++ b/limits/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -127,33 +128,24 @@
 }
 
 func (w *world) remove(f *flight) {
-	for i := range w.flights {
-		if w.flights[i] == f {
-			w.flights = append(w.flights[:i], w.flights[i+1:]...)
-			return
-		}
-	}
+	w.flights = slices.DeleteFunc(w.flights, func(o *flight) bool { return o == f })
 }
 
 // apply stores a row. What is held may exceed the limit only after the limit was
 // lowered, and may then only fall.
 func (w *world) apply(next Ledger) {
-	bound := maxShare(next.Limit, w.table.Held())
+	bound := maxOf(next.Limit, w.table.Held())
 	if !next.Held().Within(bound) {
 		w.t.Fatalf("row holds %+v, the bound is %+v", next.Held(), bound)
 	}
 	w.table = next
 	w.version++
-	w.exact.SetShare(maxShare(next.Limit, next.Held()), w.now)
+	w.exact.SetShare(maxOf(next.Limit, next.Held()), w.now)
 	if w.version == 1 {
 		w.exact.Fill()
 	}
 }
 
-func maxShare(a, b Share) Share {
-	return Share{Rate: max(a.Rate, b.Rate), Burst: max(a.Burst, b.Burst)}
-}
-
 // exchange is a read, a decision and a write without faults.
 func (w *world) exchange(p *proc) {
 	w.read(p)
@@ -196,6 +188,4 @@
 	}
 }
 
-func (w *world) advance(d time.Duration) {
-	w.now = w.now.Add(d)
-}
+func (w *world) advance(d time.Duration) { w.now = w.now.Add(d) }
