entry: borrow tokens for requests that find none here

Cause: a customer's burst is divided over the instances, and its callers use one of them.

Change: a request without a token waits for one that another instance lends.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -11,7 +11,6 @@
 	"github.com/jacinthrack/jacinthrack/configstore"
 	"github.com/jacinthrack/jacinthrack/fairqueue"
 	"github.com/jacinthrack/jacinthrack/kernel"
-	"github.com/jacinthrack/jacinthrack/limits"
 	"github.com/jacinthrack/jacinthrack/problem"
 )
 
@@ -126,15 +125,6 @@
 	return nil, problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, problem.RanNo, "the deadline passed while the request waited")
 }
 
-// rateLimiter lets the data path use a limits.Manager.
-type rateLimiter struct{ manager *limits.Manager }
-
-// Allow implements forward.RateLimiter.
-func (l *rateLimiter) Allow(customer string) (bool, time.Duration) {
-	decision := l.manager.Allow(customerLimit(customer), requestCost, time.Now())
-	return decision.Allowed, decision.RetryAfter
-}
-
 // customerLimit names the fleet-wide limit of a customer. Shifts have limits of
 // their own.
 func customerLimit(customer string) string { return "customer/" + customer }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,7 +175,7 @@
 		Log:        e.log,
 	})
 	e.admission = newAdmission(e.config, e.balancer)
-	e.gossip = &gossip{members: e.members, config: e.config, keys: e.keys, balancer: e.balancer, log: e.log}
+	e.gossip = &gossip{members: e.members, config: e.config, keys: e.keys, balancer: e.balancer, limiter: e.limiter, log: e.log}
 	peers, err := e.newPeers(o)
 	if err != nil {
 		return err
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -30,6 +30,7 @@
 	config   *configuration
 	keys     *keyService
 	balancer *balancer.Balancer
+	limiter  *limiter
 	peers    *peer.Service
 	log      *slog.Logger
 }
@@ -217,6 +218,12 @@
 	return data, err == nil
 }
 
+// Lend implements peer.Knowledge.
+func (g *gossip) Lend(limit string, tokens uint32) (lent, left uint32) {
+	taken, rest := g.limiter.Lend(limit, float64(tokens), time.Now())
+	return uint32(taken), uint32(rest)
+}
+
 // State implements peer.Knowledge.
 func (g *gossip) State() *peerpb.StateReply {
 	reply := stateToProto(g.keys.Export())
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -50,7 +50,9 @@
 	return "acme", nil
 }
 
-func (f *fakeServices) Allow(string) (bool, time.Duration) { return !f.limited, time.Second }
+func (f *fakeServices) Allow(context.Context, string) (bool, time.Duration) {
+	return !f.limited, time.Second
+}
 
 func (f *fakeServices) Acquire(context.Context, string, string, float64) (func(), *problem.Document) {
 	return func() {}, nil
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -56,8 +56,8 @@
 // RateLimiter holds customers to their fleet-wide rates.
 type RateLimiter interface {
 	// Allow reports whether one more request is within the customer's rate, or
-	// the time after which it can be.
-	Allow(customer string) (ok bool, retryAfter time.Duration)
+	// the time after which it can be. It may wait for another instance.
+	Allow(ctx context.Context, customer string) (ok bool, retryAfter time.Duration)
 }
 
 // Admission bounds the work in progress and shares it fairly between customers.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -43,7 +43,7 @@
 	if refusal := h.authorize(x); refusal != nil {
 		return refusal
 	}
-	if refusal := h.limit(x); refusal != nil {
+	if refusal := h.limit(ctx, x); refusal != nil {
 		return refusal
 	}
 	release, refusal := h.Admission.Acquire(ctx, x.route.Service, x.customer, x.weight(index))
@@ -80,11 +80,11 @@
 
 // limit holds the customer to its rate. Requests without a customer, on routes
 // open to all, are bounded by admission alone.
-func (h *Handler) limit(x *exchange) *problem.Document {
+func (h *Handler) limit(ctx context.Context, x *exchange) *problem.Document {
 	if x.customer == "" {
 		return nil
 	}
-	ok, after := h.Limiter.Allow(x.customer)
+	ok, after := h.Limiter.Allow(ctx, x.customer)
 	if ok {
 		return nil
 	}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -230,6 +230,17 @@
 	return nil, last
 }
 
+// Borrow takes tokens of a fleet-wide limit from the instance at address. ctx
+// bounds the call.
+func (s *Service) Borrow(ctx context.Context, address, limit string, tokens uint32) (lent, left uint32, err error) {
+	client, err := s.client(address)
+	if err != nil {
+		return 0, 0, err
+	}
+	reply, err := client.Borrow(ctx, &peerpb.BorrowRequest{Limit: limit, Tokens: tokens})
+	return reply.GetTokens(), reply.GetLeft(), err
+}
+
 // FetchState fetches the full state from the instance at address.
 func (s *Service) FetchState(ctx context.Context, address string) (*peerpb.StateReply, error) {
 	client, err := s.client(address)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -74,6 +74,10 @@
 	// Section returns a section of the configuration.
 	Section(sha256 []byte) ([]byte, bool)
 
+	// Lend takes up to tokens from a fleet-wide limit for the caller. left is what
+	// remains here.
+	Lend(limit string, tokens uint32) (lent, left uint32)
+
 	// State returns the full state for a replacement.
 	State() *peerpb.StateReply
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -60,8 +60,9 @@
 	return &peerpb.Confirmation{Name: k.name}
 }
 
-func (k *fakeKnowledge) Section([]byte) ([]byte, bool) { return []byte("section"), true }
-func (k *fakeKnowledge) State() *peerpb.StateReply     { return &peerpb.StateReply{} }
+func (k *fakeKnowledge) Section([]byte) ([]byte, bool)        { return []byte("section"), true }
+func (k *fakeKnowledge) Lend(string, uint32) (uint32, uint32) { return 0, 0 }
+func (k *fakeKnowledge) State() *peerpb.StateReply            { return &peerpb.StateReply{} }
 
 // fakeDirectory lists instances without its owner.
 type fakeDirectory struct {
--- a/peer/server.go
+++ b/peer/server.go
@@ -43,6 +43,12 @@
 	return &peerpb.FetchSectionReply{Data: data}, nil
 }
 
+// Borrow lends tokens of a fleet-wide limit.
+func (s *server) Borrow(_ context.Context, in *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	lent, left := s.service.knowledge.Lend(in.GetLimit(), in.GetTokens())
+	return &peerpb.BorrowReply{Tokens: lent, Left: left}, nil
+}
+
 // State returns the full state.
 func (s *server) State(context.Context, *peerpb.StateRequest) (*peerpb.StateReply, error) {
 	return s.service.knowledge.State(), nil
