--- a/placement/placement.go
+++ b/placement/placement.go
@@ -171,7 +171,7 @@
 	RejectedSlowStart:   "slow start share in use",
 	RejectedConnections: "connections in use",
 	RejectedSpill:       "region has no headroom",
-	RejectedShare:      "share of the region in use",
+	RejectedShare:       "share of the region in use",
 	RejectedReserved:    "room is reserved for other regions",
 	RejectedFarther:     "nearer server has room",
 	RejectedNotSampled:  "not sampled",
