--- a/scripts/run-processes.sh
+++ b/scripts/run-processes.sh
@@ -39,7 +39,7 @@
 dir=$(mktemp -d)
 standins=()
 entries=()
-started=0
+keep=${KEEP:-0}
 
 # end stops the processes with the given ids and waits for them.
 end() {
@@ -57,11 +57,11 @@
   trap '' INT TERM
   end ${entries[@]+"${entries[@]}"}
   end ${standins[@]+"${standins[@]}"}
-  if [ "$started" = 1 ] && [ "${KEEP:-0}" != 1 ]; then
+  if [ "$keep" = 1 ]; then
+    echo "stopped; settings and logs are in $dir"
+  else
     rm -r "$dir"
     echo "stopped"
-  else
-    echo "stopped; settings and logs are in $dir"
   fi
 }
 trap finish EXIT
@@ -101,6 +101,8 @@
   fi
 done
 
+# The logs of a start that fails are kept.
+keep=1
 platform-standin --address "$platform" >"$dir/platform.log" 2>&1 &
 standins+=($!)
 
@@ -154,5 +156,5 @@
 echo
 echo "In another terminal:  . $dir/env && jacinthrack status"
 echo "To stop: Ctrl-C here, or kill -TERM $$"
-started=1
+keep=${KEEP:-0}
 wait
