--- /dev/null
+++ b/problem/docs_test.go
@@ -0,0 +1,65 @@
+package problem
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// declaredTypes returns the problem types of the package, without their prefix.
+func declaredTypes(t *testing.T) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "problem.go", nil, 0)
+	must.NoError(t, err)
+	var names []string
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || !strings.HasPrefix(spec.Names[0].Name, "Type") {
+			return true
+		}
+		sum, ok := spec.Values[0].(*ast.BinaryExpr)
+		must.True(t, ok, must.Sprintf("%s is not a prefix and a name", spec.Names[0].Name))
+		name, err := strconv.Unquote(sum.Y.(*ast.BasicLit).Value)
+		must.NoError(t, err)
+		names = append(names, name)
+		return true
+	})
+	return names
+}
+
+// documentedTypes returns the names in the tables of problem types.
+func documentedTypes(t *testing.T) []string {
+	t.Helper()
+	page, err := os.ReadFile("../docs/errors.md")
+	must.NoError(t, err)
+	var names []string
+	inTypes := false
+	for line := range strings.Lines(string(page)) {
+		cells := strings.Split(line, "|")
+		if len(cells) < 2 {
+			inTypes = false
+			continue
+		}
+		if cells[1] == " type " && cells[2] == " status " {
+			inTypes = true
+		}
+		if inTypes && strings.HasPrefix(cells[1], " `") {
+			names = append(names, strings.Trim(cells[1], " `"))
+		}
+	}
+	return names
+}
+
+// Guards against a problem type that callers meet and cannot look up, and against
+// a page that describes one that does not exist.
+func TestErrorReferenceMatchesTypes(t *testing.T) {
+	declared := declaredTypes(t)
+	must.SliceNotEmpty(t, declared)
+	must.SliceContainsAll(t, declared, documentedTypes(t))
+}
