command: a refused connection is a plain failure

Cause: a command that could not connect ended with exit code 6, 'the change may have been made', although nothing was sent. Change: a failed dial gives exit code 1. A reply that is lost after the connection was open still gives 6.

--- a/command/command.go
+++ b/command/command.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -152,13 +153,20 @@
 		return ExitPartial
 	case errors.As(err, &document):
 		return documentExitCode(document)
-	case errors.As(err, &transport):
+	case errors.As(err, &transport) && !notConnected(transport):
 		return ExitUnknown
 	default:
 		return ExitFailure
 	}
 }
 
+// notConnected reports whether a call failed before a connection was open, so that
+// nothing was sent.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 func documentExitCode(d *problem.Document) int {
 	switch {
 	case d.Type == problem.TypeInvalidConfig:
