command: name a rejected server once in route explain

Cause: the reason of each rejection repeated the server of its row. Change: the table drops the repeated name; the JSON output is unchanged. Conclusion: go test -race ./command passes with a test of the table.

--- a/command/status.go
+++ b/command/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/spf13/cobra"
 )
@@ -26,7 +27,7 @@
 				t.add(resp.Server, "yes", resp.Tier+", "+resp.Reason)
 			}
 			for _, r := range resp.Rejected {
-				t.add(r.Server, "no", r.Reason)
+				t.add(r.Server, "no", strings.TrimPrefix(r.Reason, r.Server+": "))
 			}
 			return o.print(resp, t)
 		},
