command: wrong arguments always give exit code 2

Cause: an unknown command and a missing required flag ended with exit code 1, although the exit codes say 2 for wrong arguments. Change: the root command checks its arguments like the groups, and required flags are checked before the command runs. Conclusion: go test -race ./command passes; the test covers six kinds of wrong arguments.

--- a/command/command.go
+++ b/command/command.go
@@ -83,6 +83,8 @@
 		Short:         "Steer traffic between regions by labels and selectors",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		Args:          args(cobra.NoArgs),
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	flags := root.PersistentFlags()
 	flags.StringVar(&o.server, "server", env(EnvServer, "http://127.0.0.1:7200"), "operator URL of an entry instance, or $"+EnvServer)
@@ -90,7 +92,12 @@
 	flags.StringVar(&o.author, "author", env(EnvAuthor, os.Getenv("USER")), "name recorded with changes, or $"+EnvAuthor)
 	flags.StringVar(&o.output, "output", outputTable, "output format: json or table")
 	flags.Lookup("token").DefValue = ""
-	root.PersistentPreRunE = func(*cobra.Command, []string) error { return o.validate() }
+	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		if err := cmd.ValidateRequiredFlags(); err != nil {
+			return &UsageError{Err: err}
+		}
+		return o.validate()
+	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	root.AddCommand(configCommand(o), keyCommand(o), labelCommand(o), routeCommand(o), statusCommand(o),
 		demoCommand(o), benchCommand(o), replayCommand(o))
--- a/command/exit_test.go
+++ b/command/exit_test.go
@@ -30,3 +30,17 @@
 	code := Run(t.Context(), []string{"--server", server.URL, "key", "withdraw", "k"}, io.Discard, io.Discard)
 	must.Eq(t, ExitUnknown, code)
 }
+
+// Guards against wrong arguments that look like a failure of the system.
+func TestWrongArgumentsAreUsageErrors(t *testing.T) {
+	for _, arguments := range [][]string{
+		{"nosuch"},
+		{"config", "nosuch"},
+		{"config", "validate"},
+		{"key", "grant"},
+		{"status", "--nosuch"},
+		{"status", "--output", "xml"},
+	} {
+		must.Eq(t, ExitUsage, Run(t.Context(), arguments, io.Discard, io.Discard), must.Sprint(arguments))
+	}
+}
