--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -25,9 +25,14 @@
 	os.Exit(m.Run())
 }
 
-// Steps sets the length of state machine runs. It is called before Main.
+// Steps sets the length of state machine runs. It is called before Main, so that
+// the command line takes precedence.
 func Steps(n string) { set("rapid.steps", n) }
 
+// Checks sets the number of runs of each property. It is called before Main, so
+// that the command line takes precedence.
+func Checks(n string) { set("rapid.checks", n) }
+
 func set(name, value string) {
 	// The flags are registered by the import above.
 	if err := flag.Set(name, value); err != nil {
