limits: reduce a zone's grants before its share

Cause: a keeper could not run a Zone safely. Holder.Propose reduces the share at once, while Zone.SetShare refuses a smaller share until the instances have confirmed smaller grants, and nothing made the targets fall meanwhile. Besides, Zone forgot all instances, with their demand, while it had no share, so a new keeper saw only the demand of the instance that asked last; and the number of a grant of one keeper could be taken for that of another.

Change: - Zone.Withhold lowers the targets below the share.

Ruled out: waiting with the whole write until all instances have confirmed. One paused instance would let the zone's lease end.

Open: the process that creates a ledger starts with a full bucket in the direct mode. With a keeper nobody does, and the burst is earned at the limit's rate.

--- a/limits/zone.go
+++ b/limits/zone.go
@@ -1,6 +1,9 @@
 package limits
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Zone divides the share of an availability zone among its entry instances, so
 // that a ledger has one holder per zone: 24 entries for 410 instances, and one
@@ -13,6 +16,8 @@
 //   - An instance counts the term of a grant from before it asked. The keeper
 //     waits for the term and a margin, counted from after it answered.
 //   - No grant outlasts the zone's own share.
+//   - The zone's share falls only after the grants have: the keeper withholds the
+//     difference until instances have confirmed smaller grants.
 //
 // A new keeper starts as a new holder of the ledger with a new Zone.
 type Zone struct {
@@ -21,6 +26,8 @@
 	lease      Share
 	leaseUntil time.Time
 	floorUntil time.Time
+	withheld   Entry // part of the share that is not granted again
+	seq        uint64
 	members    []zoneMember
 }
 
@@ -36,12 +43,12 @@
 type Ask struct {
 	ID      string
 	Demand  Amount // requests per second that callers offer
-	Applied uint64 // Seq of the newest grant that the instance has applied
+	Applied uint64 // Seq of the newest grant of this keeper that the instance has applied
 }
 
 // Grant is the answer to an Ask. The terms count from before the ask was sent.
 type Grant struct {
-	Seq       uint64
+	Seq       uint64 // rises with each grant of a Zone
 	Floor     Share
 	Lease     Share
 	FloorTerm time.Duration
@@ -66,10 +73,16 @@
 	return true
 }
 
+// Withhold sets the part of the share that is not granted again. Instances give
+// it up with their next asks, after which SetShare takes a share without it.
+func (z *Zone) Withhold(floor, lease Share) { z.withheld = Entry{Floor: floor, Lease: lease} }
+
 // Outstanding returns what instances may use at the time now.
-func (z *Zone) Outstanding(now time.Time) Share {
+func (z *Zone) Outstanding(now time.Time) Share { return z.outstanding(now).Held() }
+
+func (z *Zone) outstanding(now time.Time) Entry {
 	z.expire(now)
-	return z.held().Held()
+	return z.held()
 }
 
 // Demand returns what callers offer in the zone, in requests per second. The
@@ -91,7 +104,9 @@
 	return sum
 }
 
-// expire drops instances whose grants have ended and the zone's ended shares.
+// expire drops instances whose grants have ended and the zone's ended shares. An
+// instance without a grant stays, because its demand is what earns the zone a
+// share.
 func (z *Zone) expire(now time.Time) {
 	if !now.Before(z.leaseUntil) {
 		z.lease = Share{}
@@ -102,7 +117,10 @@
 	}
 	if !now.Before(z.floorUntil) {
 		z.floor = Share{}
-		z.members = nil
+		for i := range z.members {
+			z.members[i].held.Floor = Share{}
+			z.members[i].granted.Floor = Share{}
+		}
 	}
 	kept := z.members[:0]
 	for _, m := range z.members {
@@ -121,20 +139,34 @@
 	if a.Applied == m.seq {
 		m.held = m.granted
 	}
-	target := z.target(m)
+	floor, lease := z.grantable()
+	target := z.target(m, floor, lease)
 	held := z.held()
-	m.seq++
-	m.granted.Floor = regrant(m.held.Floor, target.Floor, z.floor.Minus(held.Floor))
-	m.granted.Lease = regrant(m.held.Lease, target.Lease, z.lease.Minus(held.Lease))
+	z.seq++
+	m.seq = z.seq
+	m.granted.Floor = regrant(m.held.Floor, target.Floor, floor.Minus(held.Floor))
+	m.granted.Lease = regrant(m.held.Lease, target.Lease, lease.Minus(held.Lease))
 	m.held = maxEntry(m.held, m.granted)
-	m.expires = now.Add(z.policy.LeaseTerm + z.policy.LeaseMargin)
+	if end := now.Add(z.policy.LeaseTerm + z.policy.LeaseMargin); end.After(m.expires) {
+		m.expires = end
+	}
 	return Grant{
 		Seq: m.seq, Floor: m.granted.Floor, Lease: m.granted.Lease,
-		FloorTerm: min(z.policy.LeaseTerm, z.floorUntil.Sub(now)),
-		LeaseTerm: min(z.policy.LeaseTerm, z.leaseUntil.Sub(now)),
+		FloorTerm: max(0, min(z.policy.LeaseTerm, z.floorUntil.Sub(now))),
+		LeaseTerm: max(0, min(z.policy.LeaseTerm, z.leaseUntil.Sub(now))),
 	}
 }
 
+// grantable returns the parts of the share that instances should have.
+func (z *Zone) grantable() (floor, lease Share) {
+	return z.floor.Minus(z.withheld.Floor), z.lease.Minus(z.withheld.Lease)
+}
+
+// Remove forgets an instance that has stopped using its grant for good.
+func (z *Zone) Remove(id string) {
+	z.members = slices.DeleteFunc(z.members, func(m zoneMember) bool { return m.granted.ID == id })
+}
+
 // regrant moves a grant toward target by at most free above what is held.
 func regrant(held, target, free Share) Share { return grow(held, target, free).Min(target) }
 
@@ -146,19 +178,19 @@
 	return a
 }
 
-// member returns the instance's state. The numbers of a new one continue where
-// the instance is, because it ignores older grants.
+// member returns the instance's state. Numbers are unique in a Zone, so a new
+// state cannot take an old grant for a newer one.
 func (z *Zone) member(a Ask) *zoneMember {
 	for i := range z.members {
 		if z.members[i].granted.ID == a.ID {
 			return &z.members[i]
 		}
 	}
-	z.members = append(z.members, zoneMember{granted: Entry{ID: a.ID}, seq: a.Applied})
+	z.members = append(z.members, zoneMember{granted: Entry{ID: a.ID}})
 	return &z.members[len(z.members)-1]
 }
 
-func (z *Zone) target(m *zoneMember) Entry {
+func (z *Zone) target(m *zoneMember, floor, lease Share) Entry {
 	entries := make([]Entry, len(z.members))
 	self := 0
 	for i := range z.members {
@@ -167,7 +199,7 @@
 			self = i
 		}
 	}
-	return DivideZone(z.floor, z.lease, entries, z.policy)[self]
+	return DivideZone(floor, lease, entries, z.policy)[self]
 }
 
 // DivideZone returns the floor and lease that each instance of a zone should
@@ -193,64 +225,3 @@
 	}
 	return out
 }
-
-// Member is an instance's side of a Zone.
-type Member struct {
-	id         string
-	seq        uint64
-	using      Entry
-	floorUntil time.Time
-	leaseUntil time.Time
-	bucket     Bucket
-	demand     demandMeter
-}
-
-// NewMember returns a member without a grant. id must differ between processes.
-func NewMember(id string, now time.Time) *Member {
-	return &Member{id: id, bucket: NewBucket(Share{}, false, now), demand: demandMeter{last: now}}
-}
-
-// Ask returns the next request to the keeper.
-func (m *Member) Ask(now time.Time) Ask {
-	return Ask{ID: m.id, Demand: m.demand.sample(now), Applied: m.seq}
-}
-
-// Apply takes over a grant. askedAt is a clock reading before its ask was sent.
-// A grant older than one already applied is ignored.
-func (m *Member) Apply(g Grant, askedAt, now time.Time) {
-	if g.Seq <= m.seq {
-		return
-	}
-	m.expire(now)
-	m.seq = g.Seq
-	m.floorUntil = askedAt.Add(g.FloorTerm)
-	m.leaseUntil = askedAt.Add(g.LeaseTerm)
-	m.using.Floor, m.using.Lease = g.Floor, g.Lease
-	m.bucket.SetShare(g.Floor.Plus(g.Lease), now)
-	m.expire(now)
-}
-
-// Allow decides one request with the given cost, in requests.
-func (m *Member) Allow(cost float64, now time.Time) Decision {
-	m.demand.add(cost)
-	m.expire(now)
-	return allow(&m.bucket, cost, now, time.Second)
-}
-
-// Using returns the share that the member admits from at the time now.
-func (m *Member) Using(now time.Time) Share {
-	m.expire(now)
-	return m.using.Held()
-}
-
-func (m *Member) expire(now time.Time) {
-	if !m.using.Lease.IsZero() && !now.Before(m.leaseUntil) {
-		m.using.Lease = Share{}
-		m.bucket.SetShare(m.using.Floor, m.leaseUntil)
-	}
-	if !m.using.Floor.IsZero() && !now.Before(m.floorUntil) {
-		m.using.Floor = Share{}
-		m.bucket.SetShare(m.using.Lease, m.floorUntil)
-	}
-	m.bucket.Advance(now)
-}
--- a/limits/zone_test.go
+++ b/limits/zone_test.go
@@ -36,7 +36,7 @@
 		pick := func(t *rapid.T) *Member { return rapid.SampledFrom(members).Draw(t, "member") }
 		ask := func(m *Member) answer {
 			m.demand.add(float64(rapid.SampledFrom([]int{0, 0, 10, 500}).Draw(t, "offered")))
-			return answer{to: m, grant: z.Ask(m.Ask(now), now), askedAt: now}
+			return answer{to: m, grant: z.Ask(m.Ask("keeper", now), now), askedAt: now}
 		}
 		share := func(t *rapid.T, name string) Share {
 			burst := rapid.SampledFrom([]float64{0, 2, 10, 40}).Draw(t, name)
@@ -48,14 +48,14 @@
 			}
 			i := rapid.IntRange(0, len(answers)-1).Draw(t, "answer")
 			if keep {
-				answers[i].to.Apply(answers[i].grant, answers[i].askedAt, now)
+				answers[i].to.Apply("keeper", answers[i].grant, answers[i].askedAt, now)
 			}
 			answers = append(answers[:i], answers[i+1:]...)
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"exchange": func(t *rapid.T) {
 				a := ask(pick(t))
-				a.to.Apply(a.grant, a.askedAt, now)
+				a.to.Apply("keeper", a.grant, a.askedAt, now)
 			},
 			"rounds": func(t *rapid.T) {
 				paused := pick(t)
@@ -63,7 +63,7 @@
 					now = now.Add(time.Second)
 					for _, m := range members {
 						if a := ask(m); m != paused {
-							m.Apply(a.grant, a.askedAt, now)
+							m.Apply("keeper", a.grant, a.askedAt, now)
 						}
 					}
 				}
@@ -104,8 +104,8 @@
 		now = now.Add(time.Second)
 		members[3].demand.add(1000)
 		for _, m := range members {
-			asked := m.Ask(now)
-			m.Apply(z.Ask(asked, now), now, now)
+			asked := m.Ask("keeper", now)
+			m.Apply("keeper", z.Ask(asked, now), now, now)
 		}
 	}
 	must.Between(t, AmountOf(190), members[3].Using(now).Rate, AmountOf(200))
@@ -114,6 +114,6 @@
 
 	now = now.Add(20 * time.Second)
 	must.True(t, members[3].Using(now).IsZero())
-	members[3].Apply(z.Ask(members[3].Ask(now), now), now, now)
+	members[3].Apply("keeper", z.Ask(members[3].Ask("keeper", now), now), now, now)
 	must.False(t, members[3].Using(now).IsZero())
 }
