limits: let instances ask their zone's keeper for shares

Cause: every instance reads every ledger once a second, so the platform's reads grow with instances times limits.

Whoever is asked keeps the zone's shares until nobody has asked for as long as a grant lasts, and only keepers read and write the ledgers. Each such period is a holder of its own. Requests state demand and the number of the applied grant, and no time.

Ruled out: a keeper that refuses those who ask it by mistake. It then needs the same view of the zone as they have, and instances with different views get nothing. Ruled out as well: a lease of the keeper's place in the table. Two keepers are two holders, which is safe, and the lease would add a row and its renewals.

--- /dev/null
+++ b/limits/tenure.go
@@ -0,0 +1,196 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/platform"
+)
+
+// keeperSlot is a keeper with its lock.
+type keeperSlot struct {
+	mu     sync.Mutex
+	keeper *Keeper
+}
+
+// tenure is one period in which a process keeps its zone's shares. It holds the
+// ledgers under a name of its own, so that an earlier period of the same process
+// is another holder. Its methods are safe for concurrent use.
+type tenure struct {
+	id     string
+	zone   string
+	opts   Options
+	reader *Manager
+	slots  atomic.Pointer[map[string]*keeperSlot] // replaced, never changed
+	leaves int                                    // steps since it ended
+}
+
+func newTenure(id, zone string, o Options) *tenure {
+	t := &tenure{id: id, zone: zone, opts: o, reader: &Manager{opts: o}}
+	t.slots.Store(&map[string]*keeperSlot{})
+	return t
+}
+
+// setLimits sets the limits of a generation. Calls must not overlap.
+func (t *tenure) setLimits(generation int64, wanted map[string]Share) {
+	next := maps.Clone(*t.slots.Load())
+	for name := range wanted {
+		if next[name] == nil {
+			next[name] = &keeperSlot{keeper: NewKeeper(t.id, t.zone, t.opts.Policy, t.opts.Clock())}
+		}
+	}
+	for name, s := range next {
+		s.mu.Lock()
+		s.keeper.SetLimit(wanted[name], generation)
+		s.mu.Unlock()
+	}
+	t.slots.Store(&next)
+}
+
+// answer grants parts of the zone's shares. Limits that this process does not know
+// are left out.
+func (t *tenure) answer(b AskBatch) GrantBatch {
+	out := GrantBatch{Keeper: t.id}
+	slots := *t.slots.Load()
+	for _, a := range b.Asks {
+		s := slots[a.Name]
+		if s == nil {
+			continue
+		}
+		if b.Keeper != t.id {
+			a.Applied = 0 // a number of another keeper means nothing here
+		}
+		g := s.answer(Ask{ID: b.Member, Demand: a.Demand, Applied: a.Applied}, b.Leaving, t.opts.Clock)
+		out.Grants = append(out.Grants, NamedGrant{Name: a.Name, Grant: g})
+	}
+	return out
+}
+
+// answer reads the clock after it has the lock, so that readings never go back.
+func (s *keeperSlot) answer(a Ask, leaving bool, clock func() time.Time) Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if leaving {
+		s.keeper.zone.Remove(a.ID)
+		return Grant{}
+	}
+	return s.keeper.Ask(a, clock())
+}
+
+// idle reports whether no instance has a grant or has asked lately.
+func (t *tenure) idle() bool {
+	for _, s := range *t.slots.Load() {
+		s.mu.Lock()
+		s.keeper.zone.expire(t.opts.Clock())
+		asked := len(s.keeper.zone.members) > 0
+		s.mu.Unlock()
+		if asked {
+			return false
+		}
+	}
+	return true
+}
+
+// left reports whether the tenure is in no ledger.
+func (t *tenure) left() bool {
+	for _, s := range *t.slots.Load() {
+		s.mu.Lock()
+		gone := s.keeper.Left(t.opts.Clock())
+		s.mu.Unlock()
+		if !gone {
+			return false
+		}
+	}
+	return true
+}
+
+// step reads all ledgers and writes those that are due. It returns one *StepError
+// for each failed call.
+func (t *tenure) step(ctx context.Context, propose keeperProposal) []error {
+	var errs []error
+	if err := t.readAll(ctx); err != nil {
+		errs = append(errs, &StepError{Op: "read", Err: err})
+	}
+	slots := *t.slots.Load()
+	names := slices.Sorted(maps.Keys(slots))
+	results := make([]error, len(names))
+	permits := make(chan struct{}, t.opts.Parallel)
+	var wait sync.WaitGroup
+	for i, name := range names {
+		permits <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-permits }()
+			results[i] = t.write(ctx, name, slots[name], propose)
+		})
+	}
+	wait.Wait()
+	return append(errs, withoutNil(results)...)
+}
+
+func (t *tenure) readAll(ctx context.Context) error {
+	rows, err := t.reader.scan(ctx)
+	if err != nil {
+		return err
+	}
+	for name, s := range *t.slots.Load() {
+		if err := s.observe(name, rows[RowKey(name)], t.opts.Clock); err != nil {
+			t.opts.OnError(&StepError{Name: name, Op: "decode", Err: err})
+		}
+	}
+	return nil
+}
+
+func (s *keeperSlot) observe(name string, row platform.Row, clock func() time.Time) error {
+	var l Ledger
+	if row.Version > 0 {
+		var err error
+		if l, err = Decode(row.Value); err != nil {
+			return &LedgerError{Key: RowKey(name), Err: err}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Observe(l, row.Version, clock())
+	return nil
+}
+
+// write sends one proposal. A conflict is no error: the next step reads the row
+// again. After an unknown outcome the row is read back by the next step.
+func (t *tenure) write(ctx context.Context, name string, s *keeperSlot, propose keeperProposal) error {
+	s.mu.Lock()
+	p, due := propose(s.keeper, t.opts.Clock())
+	s.mu.Unlock()
+	if !due {
+		return nil
+	}
+	err := t.transact(ctx, name, s, p)
+	if err == nil || platform.IsConflict(err) {
+		return nil
+	}
+	return &StepError{Name: name, Op: "write", Err: err}
+}
+
+func (t *tenure) transact(ctx context.Context, name string, s *keeperSlot, p Proposal) error {
+	value, err := p.Ledger.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.opts.CallTimeout)
+	defer cancel()
+	write := platform.Write{Key: RowKey(name), Value: value, IfVersion: p.IfVersion}
+	result, err := t.opts.Table.Transact(ctx, fmt.Sprintf("%s/%d", t.id, p.counter), []platform.Write{write})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.keeper.Written(p, result.Versions[0], t.opts.Clock())
+	case !platform.IsOutcomeUnknown(err):
+		s.keeper.Failed(p, t.opts.Clock())
+	}
+	return err
+}
