entry: keep limits by zone in fleets above 24 instances

Cause: the platform's reads grew with instances times limits. At 410 instances and 20 limits the share ledgers alone would take over 8,000 of the platform's about 2,000 reads per second.

Change: limits.Switch chooses the mode. Above 24 instances on the platform's list the holders are zones, below 18 they are instances; in between the mode stays. Today's 7 instances keep the direct mode. A change gives the shares back and stops admitting from them before the other mode starts, and returns 15 s later what a keeper's instances still used. Instances that cannot be reached count, so a zone that is cut off does not change its mode. The new call AskShares of the peer service carries the asks and grants of all limits.

Ruled out: a setting in settings.Entry. A wrong value would only waste reads, and the size of the fleet is known. Ruled out too: letting the modes overlap, which is safe, but then a change under load would need two sets of rows.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -126,12 +126,12 @@
 	return nil, problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, problem.RanNo, "the deadline passed while the request waited")
 }
 
-// rateLimiter lets the data path use a limits.Manager.
-type rateLimiter struct{ manager *limits.Manager }
+// rateLimiter lets the data path use a limits.Limiter.
+type rateLimiter struct{ limits limits.Limiter }
 
 // Allow implements forward.RateLimiter.
 func (l *rateLimiter) Allow(customer string) (bool, time.Duration) {
-	decision := l.manager.Allow(customerLimit(customer), requestCost, time.Now())
+	decision := l.limits.Allow(customerLimit(customer), requestCost, time.Now())
 	return decision.Allowed, decision.RetryAfter
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -163,14 +163,14 @@
 	e.members = newMembership(self, e.settings.Seeds, store, e.log, onLost)
 	e.config = newConfiguration(store, e.members.zoneLive, e.log)
 	e.lookups = &lookups{members: e.members, config: e.config, log: e.log}
-	e.limiter = newLimiter(self, store, e.config, e.log)
+	e.limiter = newLimiter(self, store, e.members, e.config, e.log)
 	e.keys = newKeyService(self, store, e.members, e.log)
 	e.balancer = balancer.New(balancer.Options{
 		Name:       self.Name,
 		Zone:       self.Zone,
 		Members:    e.members.live,
 		OnSuspects: func() { go e.gossip.announceSuspects() },
-		Tokens:     e.limiter.Manager,
+		Tokens:     e.limiter,
 		Registry:   e.registry,
 		Log:        e.log,
 	})
@@ -182,6 +182,7 @@
 	}
 	e.peers = peers
 	e.gossip.peers = peers
+	e.limiter.peers = peers
 	claimService := newClaimService(self, store, e.members, e.log)
 	services := []kernel.Service{
 		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.admission, e.lookups, e.gossip, peers, claimService,
@@ -205,6 +206,7 @@
 		Listener:  e.listeners.peer,
 		Knowledge: e.gossip,
 		Directory: e.members,
+		Shares:    e.limiter,
 		Dial:      o.DialPeer,
 		Log:       e.log,
 		Requires:  []string{gossipName},
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -12,35 +12,67 @@
 	"github.com/jacinthrack/jacinthrack/identity"
 	"github.com/jacinthrack/jacinthrack/kernel"
 	"github.com/jacinthrack/jacinthrack/limits"
+	"github.com/jacinthrack/jacinthrack/peer"
 	"github.com/jacinthrack/jacinthrack/shiftcap"
 )
 
 // limitsName is the name in the kernel registry.
 const limitsName = "limits.manager"
 
-// limiter is the kernel service around a limits.Manager.
+// limiter is the kernel service around a limits.Switch. It implements
+// peer.SharesKeeper.
 type limiter struct {
 	kernel.Base
-	*limits.Manager
-	config *configuration
-	log    *slog.Logger
+	*limits.Switch
+	self    identity.Config
+	store   Platform
+	members *membership
+	config  *configuration
+	peers   *peer.Service // set before Start
+	log     *slog.Logger
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	running context.Context // ends before the peer service stops
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
-func newLimiter(self identity.Config, store Platform, config *configuration, log *slog.Logger) *limiter {
-	l := &limiter{config: config, log: log}
-	l.Manager = limits.NewManager(limits.Options{
-		Table:     store,
-		Instances: store,
-		ID:        fmt.Sprintf("%s/%016x", self.Name, self.BootID),
-		Instance:  self.Name,
-		OnError:   func(err error) { log.Debug("limit share not renewed", "error", err) },
-	})
+func newLimiter(self identity.Config, store Platform, members *membership, config *configuration, log *slog.Logger) *limiter {
+	l := &limiter{self: self, store: store, members: members, config: config, log: log}
+	l.running, l.cancel = context.WithCancel(context.Background())
+	l.Switch = limits.NewSwitch(l.mode, l.newLimits)
 	return l
 }
 
+// mode returns the mode for the fleet that the platform lists. Instances that
+// cannot be reached count, so that a zone that is cut off keeps its shares.
+func (l *limiter) mode(current limits.Mode) limits.Mode {
+	mode := limits.ChooseMode(current, l.members.total())
+	if mode != current {
+		l.log.Info("mode of limits chosen", "mode", mode, "instances", l.members.total())
+	}
+	return mode
+}
+
+// newLimits returns a limiter that is a new holder of the ledgers.
+func (l *limiter) newLimits(mode limits.Mode, number int) limits.Limiter {
+	options := limits.Options{
+		Table:     l.store,
+		Instances: l.store,
+		ID:        fmt.Sprintf("%s/%016x/%d", l.self.Name, l.self.BootID, number),
+		Instance:  l.self.Name,
+		OnError:   func(err error) { l.log.Debug("limit share not renewed", "error", err) },
+	}
+	if mode == limits.ModeDirect {
+		return limits.NewManager(options)
+	}
+	return limits.NewZoneManager(limits.ZoneOptions{
+		Options:    options,
+		Zone:       l.self.Zone,
+		Candidates: l.members.zoneKeepers,
+		Ask:        l.askKeeper,
+	})
+}
+
 // Name implements kernel.Service.
 func (l *limiter) Name() string { return limitsName }
 
@@ -71,10 +103,8 @@
 
 // Start implements kernel.Service.
 func (l *limiter) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	l.cancel = cancel
 	l.done.Go(func() {
-		err := l.Run(ctx)
+		err := l.Run(l.running)
 		l.log.Debug("limit shares are no longer renewed", "reason", err)
 	})
 	return nil
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -151,6 +151,23 @@
 	return out
 }
 
+// zoneKeepers returns the names of the live instances in the own zone, from which
+// the keeper of the zone's shares is chosen. This one is left out while it drains,
+// unless it is the only one.
+func (m *membership) zoneKeepers() []string {
+	draining := m.draining()
+	var names []string
+	for _, member := range m.live() {
+		if member.Zone == m.self.Zone && !(draining && member.Name == m.self.Name) {
+			names = append(names, member.Name)
+		}
+	}
+	if len(names) == 0 {
+		return []string{m.self.Name}
+	}
+	return names
+}
+
 // zoneLive returns the number of live instances in the own zone.
 func (m *membership) zoneLive() int {
 	count := 0
--- a/entry/services.go
+++ b/entry/services.go
@@ -64,7 +64,7 @@
 	data := forward.New(forward.Options{
 		Config:     e.config.index,
 		Authorizer: e.keys,
-		Limiter:    &rateLimiter{manager: e.limiter.Manager},
+		Limiter:    &rateLimiter{limits: e.limiter},
 		Admission:  e.admission,
 		Balancer:   e.balancer,
 		Claims:     &claimer{store: claimed.store, log: e.log},
--- /dev/null
+++ b/limits/switch_test.go
@@ -0,0 +1,98 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/platform/memory"
+)
+
+// Guards against a fleet at a threshold that changes its mode with each restart,
+// and against the zone mode in today's fleets of 7.
+func TestChooseMode(t *testing.T) {
+	cases := []struct {
+		current   Mode
+		instances int
+		want      Mode
+	}{
+		{"", 7, ModeDirect}, {"", 20, ModeDirect}, {"", 25, ModeZone},
+		{ModeDirect, 24, ModeDirect}, {ModeDirect, 25, ModeZone},
+		{ModeZone, 18, ModeZone}, {ModeZone, 17, ModeDirect},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.want, ChooseMode(c.current, c.instances), must.Sprintf("%+v", c))
+	}
+}
+
+// Guards against a change of the mode that admits from the shares of both modes at
+// once, leaves shares behind, or loses the limits.
+func TestSwitchChangesMode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := Limit{Name: testLimit, RatePerSecond: 100, Burst: 100}
+		store := memory.New()
+		exact := NewBucket(limit.Share(), true, time.Now())
+		var instances [3]atomic.Int32 // as each instance sees them
+		var fleet [3]*Switch
+		names := []string{"a-0", "a-1", "a-2"}
+		ask := func(_ context.Context, to string, b AskBatch) (GrantBatch, error) {
+			zone, ok := fleet[to[2]-'0'].Current().(*ZoneManager)
+			if !ok {
+				return GrantBatch{}, &ClosedError{}
+			}
+			return zone.Answer(b)
+		}
+		for i, name := range names {
+			choose := func(m Mode) Mode { return ChooseMode(m, int(instances[i].Load())) }
+			fleet[i] = NewSwitch(choose, func(m Mode, number int) Limiter {
+				o := Options{Table: store, ID: fmt.Sprintf("%s/1/%d", name, number), Instance: name}
+				if m == ModeDirect {
+					return NewManager(o)
+				}
+				return NewZoneManager(ZoneOptions{Options: o, Zone: "a", Candidates: func() []string { return names }, Ask: ask})
+			})
+			must.NoError(t, fleet[i].SetLimits(1, []Limit{limit}))
+		}
+		for _, s := range fleet {
+			go func() { _ = s.Run(t.Context()) }()
+		}
+		offer := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				for i, s := range fleet {
+					if now := time.Now(); s.Allow(testLimit, 1, now).Allowed {
+						must.True(t, exact.Take(1-1e-9, now), must.Sprintf("instance %d admitted a request above burst + rate·t", i))
+					}
+				}
+			}
+		}
+		ledger := func() Ledger {
+			row, err := store.Read(t.Context(), RowKey(testLimit))
+			must.NoError(t, err)
+			l, err := Decode(row.Value)
+			must.NoError(t, err)
+			return l
+		}
+		for _, change := range []struct {
+			instances int32
+			mode      Mode
+			soon      int // holders after 5 s; a keeper waits for its instances
+			holders   int
+		}{{7, ModeDirect, 3, 3}, {30, ModeZone, 1, 1}, {7, ModeDirect, 4, 3}} {
+			instances[0].Store(change.instances)
+			offer(3 * time.Second) // the keeper changes first
+			instances[1].Store(change.instances)
+			instances[2].Store(change.instances)
+			offer(5 * time.Second)
+			must.Len(t, change.soon, ledger().Holders)
+			offer(35 * time.Second)
+			must.Eq(t, change.mode, fleet[0].Mode())
+			must.Len(t, change.holders, ledger().Holders)
+			must.True(t, ledger().Held().Rate > AmountOf(90))
+		}
+	})
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -241,6 +241,22 @@
 	return client.State(call, &peerpb.StateRequest{})
 }
 
+// AskShares asks the instance with the name for parts of the zone's shares. It
+// returns *NoPeerError when the directory does not have the instance.
+func (s *Service) AskShares(ctx context.Context, instance string, r *peerpb.SharesRequest) (*peerpb.SharesReply, error) {
+	for _, in := range s.directory.Instances() {
+		if in.Name != instance {
+			continue
+		}
+		client, err := s.client(in.Address)
+		if err != nil {
+			return nil, err
+		}
+		return client.AskShares(ctx, r)
+	}
+	return nil, &NoPeerError{}
+}
+
 // NoPeerError reports that no other instance is known.
 type NoPeerError struct{}
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -78,6 +78,13 @@
 	State() *peerpb.StateReply
 }
 
+// SharesKeeper answers instances of the zone that ask for parts of its shares of
+// the limits. Its methods are called concurrently.
+type SharesKeeper interface {
+	// GrantShares returns an error when this process grants nothing.
+	GrantShares(r *peerpb.SharesRequest) (*peerpb.SharesReply, error)
+}
+
 // Directory lists the other entry instances, without this one.
 type Directory interface {
 	Instances() []Instance
--- a/peer/server.go
+++ b/peer/server.go
@@ -47,3 +47,15 @@
 func (s *server) State(context.Context, *peerpb.StateRequest) (*peerpb.StateReply, error) {
 	return s.service.knowledge.State(), nil
 }
+
+// AskShares grants parts of the zone's shares.
+func (s *server) AskShares(_ context.Context, in *peerpb.SharesRequest) (*peerpb.SharesReply, error) {
+	if s.service.shares == nil {
+		return nil, status.Error(codes.Unimplemented, "this instance keeps no shares of limits")
+	}
+	reply, err := s.service.shares.GrantShares(in)
+	if err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return reply, nil
+}
--- a/peer/service.go
+++ b/peer/service.go
@@ -24,6 +24,7 @@
 	TLS       *Certificates // nil for no TLS
 	Knowledge Knowledge
 	Directory Directory
+	Shares    SharesKeeper // nil refuses to grant shares
 	Log       *slog.Logger
 	// Dial opens connections to peers. Nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -40,6 +41,7 @@
 	certs     *Certificates
 	knowledge Knowledge
 	directory Directory
+	shares    SharesKeeper
 	log       *slog.Logger
 	dial      func(ctx context.Context, address string) (net.Conn, error)
 	requires  []string
@@ -62,6 +64,7 @@
 		certs:     o.TLS,
 		knowledge: o.Knowledge,
 		directory: o.Directory,
+		shares:    o.Shares,
 		log:       o.Log,
 		dial:      o.Dial,
 		requires:  o.Requires,
