limits: forget a keeper that does not answer

Cause: Release tells every keeper that was ever asked that the process leaves, one after the other, also those that did not answer before.

Change: a candidate that is skipped is forgotten. If it is asked again, the number of the applied grant is not stated, and the keeper goes on counting the larger of its grants until the next one is confirmed.

Ruled out: sending the notices at the same time, which needs a bound of its own.

The property and fault tests of the package pass.

--- a/limits/zonemanager.go
+++ b/limits/zonemanager.go
@@ -255,6 +255,7 @@
 	m.failures[keeper]++
 	if m.failures[keeper] >= skipAfter {
 		delete(m.failures, keeper)
+		delete(m.keepers, keeper) // Release need not wait for it
 		m.skipped[keeper] = now.Add(skipFor)
 	}
 }
