--- a/limits/lend.go
+++ b/limits/lend.go
@@ -108,3 +108,13 @@
 	defer s.mu.Unlock()
 	return s.holder.Lend(want, now)
 }
+
+// Lend lends tokens in the direct mode. In the zone mode, instances have their
+// shares from a keeper, and lend nothing.
+func (s *Switch) Lend(name string, want float64, now time.Time) (tokens, left float64) {
+	manager, direct := s.Current().(*Manager)
+	if !direct {
+		return 0, 0
+	}
+	return manager.Lend(name, want, now)
+}
