Fix what the operator's guide found

Cause: running the guide's commands showed four things that users do not expect. Requests with the same content all shifted or none did (0 of 200 with one body). A granted key got 403 on other instances for 20 to 570 ms. A peer with a wrong certificate was only logged at debug level. The problem type 'draining' existed and was never sent.

Change: a shift draws by request id; a grant is announced and peers read the key before the operator gets it; the first failed exchange with a peer is a warning, the next good one is logged; an instance that drains refuses requests on open connections as not run for 500 ms before it closes them, after look-ups that name it have expired.

Seen to fail: TestShiftFractionOfEqualRequests with the fingerprint as the draw finds 400 of 400 requests shifted, where 56 to 144 are allowed.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -77,7 +78,7 @@
 
 func pick(b *Balancer, fingerprint uint64) (*forward.Pick, *problem.Document) {
 	route, _ := b.current().index.Route("check")
-	return b.Pick(context.Background(), forward.Call{RequestID: "r", Route: &route, Fingerprint: fingerprint})
+	return b.Pick(context.Background(), forward.Call{RequestID: fmt.Sprint(fingerprint), Route: &route, Fingerprint: fingerprint})
 }
 
 func mustSelector(t *testing.T, text string) selector.Selector {
@@ -106,6 +107,26 @@
 	must.Eq(t, 3, shifted)
 }
 
+// Guards against requests with the same content that all shift or all stay.
+func TestShiftFractionOfEqualRequests(t *testing.T) {
+	shift := config.Shift{
+		Name: "to-new", Route: "check", Fraction: 0.25, CapPerSecond: 1000,
+		From: mustSelector(t, "tier=old"), To: mustSelector(t, "tier=new"),
+	}
+	b := newTestBalancer(t, "n1", "north-a", testIndex(t, shift), &tokens{left: 1000})
+	route, _ := b.current().index.Route("check")
+	shifted := 0
+	const requests = 400
+	for i := range requests {
+		call := forward.Call{RequestID: fmt.Sprint(i), Route: &route, Fingerprint: 7}
+		if b.request(b.current(), call, time.Now()).Shift != nil {
+			shifted++
+		}
+	}
+	// Five standard deviations around a quarter.
+	must.Between(t, requests/4-44, shifted, requests/4+44)
+}
+
 // Guards against attempts that are counted twice or for ever.
 func TestCountsReturnToZero(t *testing.T) {
 	b := newTestBalancer(t, "n1", "north-a", testIndex(t), &tokens{})
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jacinthrack/jacinthrack/config"
 	"github.com/jacinthrack/jacinthrack/forward"
 	"github.com/jacinthrack/jacinthrack/headroom"
@@ -180,7 +182,7 @@
 	for _, shift := range shifts {
 		req.Selector = selector.All(req.Selector, shift.From)
 	}
-	outcome := shiftcap.Decide(shifts, call.Route.Name, b.draw(call), b.opts.Tokens, now)
+	outcome := shiftcap.Decide(shifts, call.Route.Name, draw(call), b.opts.Tokens, now)
 	if outcome.Shifted {
 		shift := outcome.Shift
 		shift.To = selector.All(call.Route.Selector, shift.To)
@@ -189,10 +191,11 @@
 	return req
 }
 
-// draw gives all attempts of one request the same place in a shift's fraction.
-func (b *Balancer) draw(call forward.Call) float64 {
+// draw gives all attempts of one request the same place in a shift's fraction, and
+// spreads requests evenly, also those with the same content.
+func draw(call forward.Call) float64 {
 	const bits = 53 // of the mantissa of a float64
-	return float64(call.Fingerprint>>(64-bits)) / (1 << bits)
+	return float64(xxhash.Sum64String(call.RequestID)>>(64-bits)) / (1 << bits)
 }
 
 // reserve takes what placement does not count: the quarantine's permit and the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -74,6 +75,8 @@
 	admission *admission
 	peers     *peer.Service
 	gossip    *gossip
+
+	refusing atomic.Bool // new requests, during the drain
 }
 
 // listeners are opened before anything else, so that an address in use is found
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -182,6 +182,12 @@
 func (g *gossip) Announced(ctx context.Context, a *peerpb.Announcement) *peerpb.Confirmation {
 	g.keys.ApplyWithdrawals(withdrawalsFromProto(a.GetWithdrawals()))
 	g.balancer.MergeQuarantined(a.GetQuarantined(), 0, time.Now())
+	if a.GetKeyGeneration() > g.keys.Set().Generation() {
+		if err := g.keys.Poll(ctx); err != nil {
+			g.log.Warn("granted key is not known here yet", "peer", a.GetSender().GetName(), "error", err)
+			return nil
+		}
+	}
 	if wanted := a.GetConfig().GetGeneration(); wanted > 0 {
 		g.offer(ctx, a.GetSender().GetName(), a.GetConfig())
 		generation, _ := g.config.Version()
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -128,6 +128,11 @@
 	if err := o.entry.keys.Poll(ctx); err != nil {
 		o.entry.log.Warn("granted key is not known here yet", "key_id", key.ID, "error", err)
 	}
+	// The key works everywhere when the operator gets it, as far as peers are reached.
+	o.entry.peers.Announce(ctx, &peerpb.Announcement{
+		Sender:        o.entry.members.sender(),
+		KeyGeneration: o.entry.keys.Set().Generation(),
+	})
 	o.entry.log.Info("key granted", "key_id", key.ID, "customer", req.Customer, "routes", routes)
 	return operatorapi.GrantResponse{KeyID: key.ID, Key: key.Reveal()}, nil
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -63,6 +63,7 @@
 	transport := forward.NewTransport()
 	data := forward.New(forward.Options{
 		Config:     e.config.index,
+		Draining:   e.refusing.Load,
 		Authorizer: e.keys,
 		Limiter:    newBorrower(e.limiter, e.members, e.peers),
 		Admission:  e.admission,
@@ -101,14 +102,16 @@
 	if snapshot := e.lookups.Snapshot(); snapshot != nil {
 		wait = snapshot.MaxAge
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if pause(ctx, wait) {
+		e.refusing.Store(true)
+		pause(ctx, refusalPhase)
 	}
 }
 
+// refusalPhase is the time in which requests on open connections are refused as
+// not run, before connections are closed.
+const refusalPhase = 500 * time.Millisecond
+
 // operatorHTTP returns the service for operators, metrics and health.
 func (e *Entry) operatorHTTP() *httpService {
 	return &httpService{
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -24,6 +24,7 @@
 // fakeServices implements the interfaces of the data path with switches.
 type fakeServices struct {
 	mu         sync.Mutex
+	draining   bool
 	withdrawn  bool
 	limited    bool
 	mayStart   bool
@@ -133,6 +134,7 @@
 	t.Cleanup(transport.Close)
 	handler := New(Options{
 		Config:     func() *config.Index { return index },
+		Draining:   func() bool { return f.draining },
 		Authorizer: f,
 		Limiter:    f,
 		Admission:  f,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -159,6 +159,7 @@
 // Options are the dependencies of a Handler.
 type Options struct {
 	Config     func() *config.Index // nil while no configuration is in force
+	Draining   func() bool          // true once new requests must go elsewhere
 	Authorizer Authorizer
 	Limiter    RateLimiter
 	Admission  Admission
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -89,6 +89,7 @@
 		want   problem.Type
 	}{
 		{"no key", func(_ *rig, q *http.Request) { q.Header.Del(HeaderKey) }, problem.TypeKeyMissing},
+		{"draining", func(r *rig, _ *http.Request) { r.draining = true }, problem.TypeDraining},
 		{"withdrawn on arrival", func(r *rig, _ *http.Request) { r.withdrawn = true }, problem.TypeKeyInvalid},
 		{"over its rate", func(r *rig, _ *http.Request) { r.limited = true }, problem.TypeRateExceeded},
 		{"bad timeout", func(_ *rig, q *http.Request) { q.Header.Set(HeaderTimeout, "soon") }, problem.TypeBadRequest},
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -14,6 +14,13 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	index := h.Config()
+	if h.Draining() {
+		// Closing the connection of a request that is on its way would leave its
+		// caller in doubt about whether it ran.
+		w.Header().Set("Connection", "close")
+		h.refuse(w, &exchange{id: newRequestID(), start: time.Now()}, problem.New(problem.TypeDraining, http.StatusServiceUnavailable, problem.RanNo, "this entry instance drains"))
+		return
+	}
 	if index == nil {
 		h.refuse(w, &exchange{id: newRequestID(), start: time.Now()}, problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.RanNo, "no configuration is in force").WithRetryAfter(time.Second))
 		return
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -71,18 +71,37 @@
 	defer cancel()
 	client, err := s.client(in.Address)
 	if err != nil {
-		s.log.Warn("peer exchange failed", "peer", in.Name, "error", err)
+		s.noteExchange(in, err)
 		return
 	}
 	sent := time.Now()
 	reply, err := client.Exchange(call, s.knowledge.Digest(Recipient{Name: in.Name, Zone: in.Zone}))
+	s.noteExchange(in, err)
 	if err != nil {
-		s.log.Debug("peer exchange failed", "peer", in.Name, "error", err)
 		return
 	}
 	s.knowledge.MergeReply(ctx, reply, time.Since(sent))
 }
 
+// noteExchange logs when exchanges with a peer begin to fail, for example because
+// of its certificate, and when they work again.
+func (s *Service) noteExchange(in Instance, err error) {
+	s.mu.Lock()
+	before := s.failing[in.Name]
+	if err != nil {
+		s.failing[in.Name] = true
+	} else {
+		delete(s.failing, in.Name)
+	}
+	s.mu.Unlock()
+	switch {
+	case err != nil && !before:
+		s.log.Warn("exchanges with a peer fail", "peer", in.Name, "address", in.Address, "error", err)
+	case err == nil && before:
+		s.log.Info("exchanges with a peer work again", "peer", in.Name)
+	}
+}
+
 // split separates the instances of a zone from the others, in a stable order.
 // The others are ordered so that consecutive ones are in different zones.
 func split(instances []Instance, zone string) (inZone, remote []Instance) {
@@ -187,11 +206,12 @@
 		return nil
 	}
 	message := &peerpb.Announcement{
-		Sender:      a.GetSender(),
-		Config:      a.GetConfig(),
-		Withdrawals: a.GetWithdrawals(),
-		Quarantined: a.GetQuarantined(),
-		Hops:        hops,
+		Sender:        a.GetSender(),
+		Config:        a.GetConfig(),
+		Withdrawals:   a.GetWithdrawals(),
+		Quarantined:   a.GetQuarantined(),
+		KeyGeneration: a.GetKeyGeneration(),
+		Hops:          hops,
 	}
 	reply, err := client.Announce(ctx, message)
 	if err != nil {
--- a/peer/service.go
+++ b/peer/service.go
@@ -53,6 +53,8 @@
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
 	turn  int                         // counts rounds, to rotate over peers
+	// failing holds the peers whose last exchange failed.
+	failing map[string]bool
 }
 
 // NewService returns a service that is not started.
@@ -69,6 +71,7 @@
 		dial:      o.Dial,
 		requires:  o.Requires,
 		conns:     make(map[string]*grpc.ClientConn),
+		failing:   make(map[string]bool),
 	}
 }
 
