entry: send addresses with one sighting in eight

Cause: with 17 instances in a zone, the size of the target, an instance sent 3,755 B/s to its peers, 4 KB/s being the budget, before the summaries of 20 further zones.

Change: addresses, half of a sighting's size, travel with one in eight; the receiver keeps those that it knows.

Ruled out: a fanout of 1 within the zone, with which an instance hears less than half of its zone within the staleness bound of 5 s.

--- a/entry/membership.go
+++ b/entry/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -161,22 +162,26 @@
 	}
 	var out []*peerpb.Sighting
 	for _, s := range m.watcher.Direct(sightingAge) {
-		out = append(out, &peerpb.Sighting{
-			AgeMs: uint32(s.Age.Milliseconds()) + 1,
-			Instance: &peerpb.Sender{
-				Name:          s.Name,
-				Zone:          s.Zone,
-				BootId:        s.BootID,
-				Token:         s.Token,
-				PeerAddress:   s.PeerAddress,
-				CallerAddress: s.CallerAddress,
-				Draining:      s.Draining,
-			},
-		})
+		seen := &peerpb.Sender{
+			Name:     s.Name,
+			Zone:     s.Zone,
+			BootId:   s.BootID,
+			Token:    s.Token,
+			Draining: s.Draining,
+		}
+		if rand.IntN(addressEvery) == 0 {
+			seen.PeerAddress, seen.CallerAddress = s.PeerAddress, s.CallerAddress
+		}
+		out = append(out, &peerpb.Sighting{Instance: seen, AgeMs: uint32(s.Age.Milliseconds()) + 1})
 	}
 	return out
 }
 
+// addressEvery is the number of sightings of which one carries addresses, which
+// are half of its size. They change only with a replacement, and then arrive
+// within some seconds.
+const addressEvery = 8
+
 // Instances implements peer.Directory. Suspected instances are contacted too,
 // since only contact can clear them. Seeds stand in while nobody is known.
 func (m *membership) Instances() []peer.Instance {
