peer: close connections that are idle for 30 s

Cause: an instance contacts each of several hundred others in turn and kept every connection; 410 instances would hold 168,000.

Change: connections without use for 30 s are closed.

--- a/peer/service.go
+++ b/peer/service.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -51,12 +52,22 @@
 	done   sync.WaitGroup
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
-	turn  int                         // counts rounds, to rotate over peers
+	conns map[string]*connection // by address
+	turn  int                    // counts rounds, to rotate over peers
 	// failing holds the peers whose last exchange failed.
 	failing map[string]bool
 }
 
+// connection is a connection to a peer and the time of its last use.
+type connection struct {
+	*grpc.ClientConn
+	used time.Time
+}
+
+// idleAfter is the time without use after which a connection is closed. In a fleet
+// of hundreds, each instance of another zone is contacted once in several minutes.
+const idleAfter = 30 * time.Second
+
 // NewService returns a service that is not started.
 func NewService(o Options) *Service {
 	return &Service{
@@ -70,7 +81,7 @@
 		log:       o.Log,
 		dial:      o.Dial,
 		requires:  o.Requires,
-		conns:     make(map[string]*grpc.ClientConn),
+		conns:     make(map[string]*connection),
 		failing:   make(map[string]bool),
 	}
 }
@@ -125,9 +136,10 @@
 func (s *Service) client(address string) (peerpb.PeerClient, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	conn, ok := s.conns[address]
+	known, ok := s.conns[address]
 	if ok {
-		return peerpb.NewPeerClient(conn), nil
+		known.used = time.Now()
+		return peerpb.NewPeerClient(known), nil
 	}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(s.credentials()),
@@ -144,7 +156,7 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	s.conns[address] = conn
+	s.conns[address] = &connection{ClientConn: conn, used: time.Now()}
 	return peerpb.NewPeerClient(conn), nil
 }
 
@@ -155,7 +167,7 @@
 	return credentials.NewTLS(s.certs.ClientConfig())
 }
 
-// prune closes connections to addresses that are no longer in use.
+// prune closes connections that are idle or to addresses that are no longer known.
 func (s *Service) prune(instances []Instance) {
 	keep := make(map[string]bool, len(instances))
 	for _, in := range instances {
@@ -164,7 +176,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, conn := range s.conns {
-		if keep[address] {
+		if keep[address] && time.Since(conn.used) < idleAfter {
 			continue
 		}
 		conn.Close()
