entry: services find each other by name

Cause: the services of an entry instance were handed to each other as pointers when they were made, while the kernel's registry is there for that.

Change: each service looks up what it needs by name when it is provisioned; the entry only lists them. The platform, the membership or any other service can be replaced under its name. Claims start their writer in Start, not before.

Ruled out: a lookup at each use, which would hide a missing service until the first request.

After: go test -race ./entry ./kernel ./examples/... passes.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -38,10 +38,6 @@
 	done   sync.WaitGroup
 }
 
-func newAdmission(config *configuration, b *balancer.Balancer) *admission {
-	return &admission{config: config, balancer: b, queues: make(map[string]*fairqueue.Limiter)}
-}
-
 // Name implements kernel.Service.
 func (a *admission) Name() string { return admissionName }
 
@@ -50,7 +46,14 @@
 
 // Provision implements kernel.Service. The balancer gets each configuration
 // first, since the queues are sized by its room.
-func (a *admission) Provision(kernel.Resolver) error {
+func (a *admission) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	a.config = find[*configuration](f, configurationName)
+	a.balancer = find[*balancer.Balancer](f, balancer.ServiceName)
+	if f.err != nil {
+		return f.err
+	}
+	a.queues = make(map[string]*fairqueue.Limiter)
 	a.config.Subscribe(func(s *configstore.Snapshot) {
 		a.balancer.SetConfig(s.Index, time.Now())
 		a.adjust(s)
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -16,15 +16,15 @@
 // that is in progress.
 const inProgressRetryAfter = time.Second
 
-// claimer lets the data path use a claims.Store.
+// claimer lets the data path use the claim service.
 type claimer struct {
-	store *claims.Store
-	log   *slog.Logger
+	service *claimService
+	log     *slog.Logger
 }
 
 // Begin implements forward.Claimer.
 func (c *claimer) Begin(ctx context.Context, req forward.ClaimRequest) (forward.Claim, *forward.StoredResponse, *problem.Document) {
-	got, prior, err := c.store.Begin(ctx, claims.Request{
+	got, prior, err := c.service.store.Begin(ctx, claims.Request{
 		Customer:       req.Customer,
 		Route:          req.Route,
 		IdempotencyKey: req.IdempotencyKey,
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -19,29 +19,36 @@
 	kernel.Base
 	*configstore.Follower
 	store *configstore.Store
+	log   *slog.Logger
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
 
-func newConfiguration(store Platform, live func() int, log *slog.Logger) *configuration {
-	return &configuration{
-		store: configstore.NewStore(store, store),
-		Follower: configstore.NewFollower(configstore.FollowerOptions{
-			Table:   store,
-			Objects: store,
-			Live:    live,
-			Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			Log:     log,
-		}),
+// Provision implements kernel.Service.
+func (c *configuration) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	store := find[Platform](f, platformName)
+	members := find[*membership](f, membershipName)
+	if f.err != nil {
+		return f.err
 	}
+	c.store = configstore.NewStore(store, store)
+	c.Follower = configstore.NewFollower(configstore.FollowerOptions{
+		Table:   store,
+		Objects: store,
+		Live:    members.zoneLive,
+		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:     c.log,
+	})
+	return nil
 }
 
 // Name implements kernel.Service.
 func (c *configuration) Name() string { return configurationName }
 
 // Requires implements kernel.Service.
-func (c *configuration) Requires() []string { return []string{membershipName} }
+func (c *configuration) Requires() []string { return []string{platformName, membershipName} }
 
 // Start implements kernel.Service.
 func (c *configuration) Start(context.Context) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,15 +66,14 @@
 	kernel    *kernel.Registry
 	listeners listeners
 
-	members   *membership
-	config    *configuration
-	lookups   *lookups
-	limiter   *limiter
-	keys      *keyService
-	balancer  *balancer.Balancer
-	admission *admission
-	peers     *peer.Service
-	gossip    *gossip
+	members  *membership
+	config   *configuration
+	lookups  *lookups
+	limiter  *limiter
+	keys     *keyService
+	balancer *balancer.Balancer
+	peers    *peer.Service
+	gossip   *gossip
 
 	refusing atomic.Bool // new requests, during the drain
 }
@@ -146,7 +145,8 @@
 	}
 }
 
-// register builds the services and adds them to the kernel.
+// register adds the services to the kernel. They find each other by name when they
+// are provisioned.
 func (e *Entry) register(o Options) error {
 	store := o.Platform
 	if store == nil {
@@ -163,11 +163,12 @@
 		PeerAddress:   e.settings.PeerAddress,
 		CallerAddress: e.settings.CallerAddress,
 	}
-	e.members = newMembership(self, e.settings.Seeds, store, e.log, onLost)
-	e.config = newConfiguration(store, e.members.zoneLive, e.log)
-	e.lookups = &lookups{members: e.members, config: e.config, log: e.log}
-	e.limiter = newLimiter(self, store, e.members, e.config, e.log)
-	e.keys = newKeyService(self, store, e.members, e.log)
+	e.members = &membership{self: self, seeds: e.settings.Seeds, log: e.log, onLost: onLost}
+	e.config = &configuration{log: e.log}
+	e.keys = &keyService{self: self, log: e.log}
+	e.limiter = &limiter{self: self, log: e.log}
+	e.lookups = &lookups{log: e.log}
+	e.gossip = &gossip{log: e.log}
 	e.balancer = balancer.New(balancer.Options{
 		Name:       self.Name,
 		Zone:       self.Zone,
@@ -177,20 +178,18 @@
 		Registry:   e.registry,
 		Log:        e.log,
 	})
-	e.admission = newAdmission(e.config, e.balancer)
-	e.gossip = &gossip{members: e.members, config: e.config, keys: e.keys, balancer: e.balancer, limiter: e.limiter, log: e.log}
 	peers, err := e.newPeers(o)
 	if err != nil {
 		return err
 	}
 	e.peers = peers
-	e.gossip.peers = peers
-	e.limiter.peers = peers
-	claimService := newClaimService(self, store, e.members, e.log)
-	upkeep := &maintenance{claims: claimService, members: e.members, store: store, log: e.log}
 	services := []kernel.Service{
-		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.admission, e.lookups, e.gossip, peers, claimService, upkeep,
-		e.callerHTTP(claimService), e.operatorHTTP(),
+		store, e.members, e.config, e.keys, e.limiter, e.balancer, e.lookups, e.gossip, peers,
+		&admission{},
+		&claimService{self: self, log: e.log},
+		&maintenance{log: e.log},
+		e.operatorHTTP(),
+		e.callerHTTP(),
 	}
 	for _, s := range services {
 		if err := e.kernel.Register(s); err != nil {
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -40,7 +40,20 @@
 
 // Requires implements kernel.Service.
 func (g *gossip) Requires() []string {
-	return []string{membershipName, configurationName, keysName, balancer.ServiceName}
+	return []string{membershipName, configurationName, keysName, limitsName, balancer.ServiceName}
+}
+
+// Provision implements kernel.Service.
+func (g *gossip) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	g.members = find[*membership](f, membershipName)
+	g.config = find[*configuration](f, configurationName)
+	g.keys = find[*keyService](f, keysName)
+	g.limiter = find[*limiter](f, limitsName)
+	g.balancer = find[*balancer.Balancer](f, balancer.ServiceName)
+	// The peer service is provisioned later, since it carries these digests.
+	g.peers = find[*peer.Service](f, peer.ServiceName)
+	return f.err
 }
 
 // Digest implements peer.Knowledge.
--- a/entry/http.go
+++ b/entry/http.go
@@ -32,7 +32,7 @@
 	name     string
 	requires []string
 	listener net.Listener
-	handler  func() http.Handler // built in Provision
+	handler  func(kernel.Resolver) (http.Handler, error) // called in Provision
 	// beforeDrain runs before new connections are refused.
 	beforeDrain func(context.Context)
 	log         *slog.Logger
@@ -48,10 +48,14 @@
 func (s *httpService) Requires() []string { return s.requires }
 
 // Provision implements kernel.Service.
-func (s *httpService) Provision(kernel.Resolver) error {
+func (s *httpService) Provision(r kernel.Resolver) error {
+	handler, err := s.handler(r)
+	if err != nil {
+		return err
+	}
 	chain := alice.New(recoverPanics(s.log))
 	s.server = &http.Server{
-		Handler:           chain.Then(s.handler()),
+		Handler:           chain.Then(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -29,34 +29,41 @@
 type keyService struct {
 	kernel.Base
 	*keys.Follower
+	self    identity.Config
 	store   *keys.Store
 	members *membership
+	log     *slog.Logger
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
 
-func newKeyService(self identity.Config, store Platform, members *membership, log *slog.Logger) *keyService {
-	return &keyService{
-		store:   keys.NewStore(store),
-		members: members,
-		Follower: keys.NewFollower(keys.FollowerOptions{
-			Table:  store,
-			Name:   self.Name,
-			Zone:   self.Zone,
-			Boot:   self.BootID,
-			Live:   members.zoneLive,
-			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			Log:    log,
-		}),
+// Provision implements kernel.Service.
+func (k *keyService) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	store := find[Platform](f, platformName)
+	k.members = find[*membership](f, membershipName)
+	if f.err != nil {
+		return f.err
 	}
+	k.store = keys.NewStore(store)
+	k.Follower = keys.NewFollower(keys.FollowerOptions{
+		Table:  store,
+		Name:   k.self.Name,
+		Zone:   k.self.Zone,
+		Boot:   k.self.BootID,
+		Live:   k.members.zoneLive,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:    k.log,
+	})
+	return nil
 }
 
 // Name implements kernel.Service.
 func (k *keyService) Name() string { return keysName }
 
 // Requires implements kernel.Service.
-func (k *keyService) Requires() []string { return []string{membershipName} }
+func (k *keyService) Requires() []string { return []string{platformName, membershipName} }
 
 // Start implements kernel.Service.
 func (k *keyService) Start(context.Context) error {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -28,7 +28,7 @@
 	store   Platform
 	members *membership
 	config  *configuration
-	peers   *peer.Service // set before Start
+	peers   *peer.Service
 	log     *slog.Logger
 
 	running context.Context // ends before the peer service stops
@@ -36,13 +36,6 @@
 	done    sync.WaitGroup
 }
 
-func newLimiter(self identity.Config, store Platform, members *membership, config *configuration, log *slog.Logger) *limiter {
-	l := &limiter{self: self, store: store, members: members, config: config, log: log}
-	l.running, l.cancel = context.WithCancel(context.Background())
-	l.Switch = limits.NewSwitch(l.mode, l.newLimits)
-	return l
-}
-
 // mode returns the mode for the fleet that the platform lists. Instances that
 // cannot be reached count, so that a zone that is cut off keeps its shares.
 func (l *limiter) mode(current limits.Mode) limits.Mode {
@@ -77,10 +70,23 @@
 func (l *limiter) Name() string { return limitsName }
 
 // Requires implements kernel.Service.
-func (l *limiter) Requires() []string { return []string{configurationName} }
+func (l *limiter) Requires() []string {
+	return []string{platformName, membershipName, configurationName}
+}
 
 // Provision implements kernel.Service.
-func (l *limiter) Provision(kernel.Resolver) error {
+func (l *limiter) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	l.store = find[Platform](f, platformName)
+	l.members = find[*membership](f, membershipName)
+	l.config = find[*configuration](f, configurationName)
+	// The peer service is provisioned later, since it serves this one to others.
+	l.peers = find[*peer.Service](f, peer.ServiceName)
+	if f.err != nil {
+		return f.err
+	}
+	l.running, l.cancel = context.WithCancel(context.Background())
+	l.Switch = limits.NewSwitch(l.mode, l.newLimits)
 	l.config.Subscribe(l.setConfig)
 	return nil
 }
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -45,7 +45,13 @@
 func (l *lookups) Requires() []string { return []string{configurationName, membershipName} }
 
 // Provision implements kernel.Service.
-func (l *lookups) Provision(kernel.Resolver) error {
+func (l *lookups) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	l.members = find[*membership](f, membershipName)
+	l.config = find[*configuration](f, configurationName)
+	if f.err != nil {
+		return f.err
+	}
 	l.config.Subscribe(l.setConfig)
 	return nil
 }
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -46,7 +46,18 @@
 func (m *maintenance) Name() string { return maintenanceName }
 
 // Requires implements kernel.Service.
-func (m *maintenance) Requires() []string { return []string{claimsName, membershipName} }
+func (m *maintenance) Requires() []string {
+	return []string{platformName, claimsName, membershipName}
+}
+
+// Provision implements kernel.Service.
+func (m *maintenance) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	m.store = find[Platform](f, platformName)
+	m.claims = find[*claimService](f, claimsName)
+	m.members = find[*membership](f, membershipName)
+	return f.err
+}
 
 // Start implements kernel.Service.
 func (m *maintenance) Start(context.Context) error {
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -28,7 +28,6 @@
 	kernel.Base
 	self    identity.Config
 	seeds   []string
-	store   Platform
 	log     *slog.Logger
 	onLost  func(error) // called when a newer process has this name
 	holder  *identity.Holder
@@ -43,13 +42,18 @@
 	adopted []platform.Instance
 }
 
-func newMembership(self identity.Config, seeds []string, store Platform, log *slog.Logger, onLost func(error)) *membership {
-	m := &membership{self: self, seeds: seeds, store: store, log: log, onLost: onLost}
+// Provision implements kernel.Service.
+func (m *membership) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	store := find[Platform](f, platformName)
+	if f.err != nil {
+		return f.err
+	}
 	m.list = &observedList{InstanceList: store}
-	m.watcher = identity.NewWatcher(self.Zone, store, m.list, log)
+	m.watcher = identity.NewWatcher(m.self.Zone, store, m.list, m.log)
 	m.self.Fleet = m.watcher.Fleet
 	m.holder = identity.NewHolder(m.self, store)
-	return m
+	return nil
 }
 
 // observedList remembers whether the platform's list was ever read.
--- a/entry/services.go
+++ b/entry/services.go
@@ -36,57 +36,78 @@
 // claimService is the kernel service around a claims.Store.
 type claimService struct {
 	kernel.Base
-	store *claims.Store
-	log   *slog.Logger
-}
-
-func newClaimService(self identity.Config, store Platform, members *membership, log *slog.Logger) *claimService {
-	config := claims.Config{
-		Self:     claims.Claimant{Instance: self.Name, BootID: self.BootID},
-		Liveness: members.liveness,
-		Logger:   log,
-	}
-	return &claimService{store: claims.NewStore(config, store, store), log: log}
+	self     identity.Config
+	platform Platform
+	members  *membership
+	store    *claims.Store // from Start
+	log      *slog.Logger
 }
 
 // Name implements kernel.Service.
 func (s *claimService) Name() string { return claimsName }
 
 // Requires implements kernel.Service.
-func (s *claimService) Requires() []string { return []string{membershipName} }
+func (s *claimService) Requires() []string { return []string{platformName, membershipName} }
+
+// Provision implements kernel.Service.
+func (s *claimService) Provision(r kernel.Resolver) error {
+	f := &finder{resolver: r}
+	s.platform = find[Platform](f, platformName)
+	s.members = find[*membership](f, membershipName)
+	return f.err
+}
+
+// Start implements kernel.Service.
+func (s *claimService) Start(context.Context) error {
+	config := claims.Config{
+		Self:     claims.Claimant{Instance: s.self.Name, BootID: s.self.BootID},
+		Liveness: s.members.liveness,
+		Logger:   s.log,
+	}
+	s.store = claims.NewStore(config, s.platform, s.platform)
+	return nil
+}
 
 // Stop implements kernel.Service. It waits for outcomes that are not stored yet.
 func (s *claimService) Stop(ctx context.Context) error { return s.store.Close(ctx) }
 
 // callerHTTP returns the service for look-ups and requests.
-func (e *Entry) callerHTTP(claimed *claimService) *httpService {
-	transport := forward.NewTransport()
+func (e *Entry) callerHTTP() *httpService {
+	return &httpService{
+		name:        callerHTTPName,
+		requires:    []string{claimsName, admissionName, operatorHTTPName},
+		listener:    e.listeners.caller,
+		log:         e.log,
+		handler:     e.callerHandler,
+		beforeDrain: e.beforeDrain,
+	}
+}
+
+// callerHandler finds the services behind the data path and joins them.
+func (e *Entry) callerHandler(r kernel.Resolver) (http.Handler, error) {
+	f := &finder{resolver: r}
+	config := find[*configuration](f, configurationName)
+	members := find[*membership](f, membershipName)
+	snapshots := find[*lookups](f, lookupName)
+	rates := find[*limiter](f, limitsName)
+	peers := find[*peer.Service](f, peer.ServiceName)
 	data := forward.New(forward.Options{
-		Config:     e.config.index,
+		Config:     config.index,
 		Draining:   e.refusing.Load,
-		Authorizer: e.keys,
-		Limiter:    newBorrower(e.limiter, e.members, e.peers),
-		Admission:  e.admission,
-		Balancer:   e.balancer,
-		Claims:     &claimer{store: claimed.store, log: e.log},
-		Transport:  transport,
+		Authorizer: find[*keyService](f, keysName),
+		Limiter:    newBorrower(rates, members, peers),
+		Admission:  find[*admission](f, admissionName),
+		Balancer:   find[*balancer.Balancer](f, balancer.ServiceName),
+		Claims:     &claimer{service: find[*claimService](f, claimsName), log: e.log},
+		Transport:  forward.NewTransport(),
 		Metrics:    forward.NewMetrics(e.registry),
 		Log:        e.log,
 	})
-	return &httpService{
-		name:     callerHTTPName,
-		requires: []string{claimsName, admissionName, operatorHTTPName},
-		listener: e.listeners.caller,
-		log:      e.log,
-		handler: func() http.Handler {
-			mux := http.NewServeMux()
-			mux.Handle(pathLookup, &lookup.Handler{Source: e.lookups})
-			mux.Handle(forward.PathPrefix, data)
-			mux.HandleFunc("/", notFound)
-			return mux
-		},
-		beforeDrain: e.beforeDrain,
-	}
+	mux := http.NewServeMux()
+	mux.Handle(pathLookup, &lookup.Handler{Source: snapshots})
+	mux.Handle(forward.PathPrefix, data)
+	mux.HandleFunc("/", notFound)
+	return mux, f.err
 }
 
 // beforeDrain takes the instance out of look-ups and waits until the answers that
@@ -120,14 +141,14 @@
 		requires: []string{lookupName, limitsName, keysName, balancer.ServiceName, peer.ServiceName},
 		listener: e.listeners.operator,
 		log:      e.log,
-		handler: func() http.Handler {
+		handler: func(kernel.Resolver) (http.Handler, error) {
 			mux := http.NewServeMux()
 			mux.Handle("/v1/", operatorapi.NewHandler(&operator{entry: e}, e.settings.OperatorToken))
 			mux.Handle(pathMetrics, promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}))
 			mux.HandleFunc(pathLive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 			mux.HandleFunc(pathReady, e.serveReady)
 			mux.HandleFunc("/", notFound)
-			return mux
+			return mux, nil
 		},
 	}
 }
