--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -11,6 +11,7 @@
 	"github.com/jacinthrack/jacinthrack/config"
 	"github.com/jacinthrack/jacinthrack/forward"
 	"github.com/jacinthrack/jacinthrack/headroom"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/placement"
 	"github.com/jacinthrack/jacinthrack/problem"
 	"github.com/jacinthrack/jacinthrack/quarantine"
@@ -58,7 +59,7 @@
 		if first {
 			b.miss(s, call, err, now)
 		}
-		if !isFull(err) || now.After(deadline) || !sleep(ctx, roomCheckInterval) {
+		if !isFull(err) || now.After(deadline) || sleep.For(ctx, roomCheckInterval) != nil {
 			refusal := refusalOf(err)
 			b.logRefusal(call, decision, refusal)
 			return nil, refusal
@@ -66,17 +67,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // isFull reports a refusal that ends when a request in progress ends.
 func isFull(err error) bool {
 	var none *placement.NoServerError
--- a/bench/run.go
+++ b/bench/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/caller"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 )
 
 // Run runs a plan and returns its result. It ends when all requests have ended,
@@ -161,16 +162,5 @@
 }
 
 func sleepUntil(ctx context.Context, t time.Time) error {
-	wait := time.Until(t)
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return sleep.For(ctx, time.Until(t))
 }
--- a/caller/do.go
+++ b/caller/do.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/lookup"
 	"github.com/jacinthrack/jacinthrack/problem"
 )
@@ -59,7 +60,7 @@
 	if allowed := e.client.maxWait(ctx); wait >= allowed {
 		return instance, e.fail(ReasonDeadline, &WaitTooLongError{Wait: wait, Allowed: allowed, Err: e.last()})
 	}
-	if err := sleep(ctx, wait); err != nil {
+	if err := sleep.For(ctx, wait); err != nil {
 		return instance, e.fail(ReasonDeadline, err)
 	}
 	// The list may have expired during the wait.
@@ -138,14 +139,3 @@
 	}
 	return left
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/claims/settle.go
+++ b/claims/settle.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 )
 
 // Delays between background retries. The first fits a lost reply, the last keeps
@@ -99,14 +101,7 @@
 
 // sleep waits for d. It returns false when the store stops.
 func (s *Store) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.ctx.Done():
-		return false
-	}
+	return sleep.For(s.ctx, d) == nil
 }
 
 // settleOnce tries the final write once.
--- a/configstore/publish.go
+++ b/configstore/publish.go
@@ -7,8 +7,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/platform"
-	"github.com/jacinthrack/jacinthrack/platform/poll"
 )
 
 // Attempts of one publish. A lost reply is followed by a read and, if the change
@@ -97,7 +97,7 @@
 		if !platform.IsOutcomeUnknown(err) {
 			return err
 		}
-		poll.Sleep(ctx, attemptPause)
+		_ = sleep.For(ctx, attemptPause)
 	}
 	return err
 }
@@ -131,7 +131,7 @@
 		if owner == ownerOther || platform.IsConflict(err) && unknown == nil {
 			return Published{}, s.conflict(ctx, next.Generation-1)
 		}
-		poll.Sleep(ctx, attemptPause)
+		_ = sleep.For(ctx, attemptPause)
 	}
 	return Published{}, &PublishUnknownError{Attempted: next, Err: unknown}
 }
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/identity"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/kernel"
-	"github.com/jacinthrack/jacinthrack/platform/poll"
 )
 
 // maintenanceName is the name in the kernel registry.
@@ -77,8 +77,7 @@
 
 // wait sleeps for this instance's part of the fleet's period.
 func (m *maintenance) wait(ctx context.Context, every time.Duration) bool {
-	poll.Sleep(ctx, every*time.Duration(len(m.members.live())))
-	return ctx.Err() == nil
+	return sleep.For(ctx, every*time.Duration(len(m.members.live()))) == nil
 }
 
 func (m *maintenance) sweepClaims(ctx context.Context) {
--- a/entry/services.go
+++ b/entry/services.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthrack/jacinthrack/claims"
 	"github.com/jacinthrack/jacinthrack/forward"
 	"github.com/jacinthrack/jacinthrack/identity"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/kernel"
 	"github.com/jacinthrack/jacinthrack/lookup"
 	"github.com/jacinthrack/jacinthrack/operatorapi"
@@ -123,9 +124,9 @@
 	if snapshot := e.lookups.Snapshot(); snapshot != nil {
 		wait = snapshot.MaxAge
 	}
-	if pause(ctx, wait) {
+	if sleep.For(ctx, wait) == nil {
 		e.refusing.Store(true)
-		pause(ctx, refusalPhase)
+		_ = sleep.For(ctx, refusalPhase)
 	}
 }
 
--- a/entry/withdraw.go
+++ b/entry/withdraw.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/keys"
 	"github.com/jacinthrack/jacinthrack/operatorapi"
 	"github.com/jacinthrack/jacinthrack/peer/peerpb"
@@ -63,7 +64,7 @@
 		default:
 		}
 		report := tally.Report(time.Now(), o.widestBound())
-		if report.InForce || report.Wait > 0 || !pause(ctx, withdrawPause) {
+		if report.InForce || report.Wait > 0 || sleep.For(ctx, withdrawPause) != nil {
 			break
 		}
 	}
@@ -81,7 +82,7 @@
 // report waits for the staleness bound if that is all that is missing.
 func (o *operator) report(ctx context.Context, w keys.Withdrawal, tally *keys.Tally) operatorapi.WithdrawResponse {
 	report := tally.Report(time.Now(), o.widestBound())
-	if !report.InForce && report.Wait > 0 && report.Wait <= withdrawMaxWait && pause(ctx, report.Wait) {
+	if !report.InForce && report.Wait > 0 && report.Wait <= withdrawMaxWait && sleep.For(ctx, report.Wait) == nil {
 		report = tally.Report(time.Now(), o.widestBound())
 	}
 	resp := operatorapi.WithdrawResponse{KeyID: w.KeyID, Recorded: report.OnPlatform, InForce: report.InForce}
@@ -119,18 +120,6 @@
 	return bound
 }
 
-// pause reports whether the whole wait passed before ctx ended.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // applyLabels changes the labels of one object in a document.
 func applyLabels(doc *config.Document, req operatorapi.LabelRequest) error {
 	labels, err := labelsOf(doc, req)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/problem"
 	"github.com/jacinthrack/jacinthrack/retry"
 )
@@ -154,22 +155,7 @@
 		h.Log.Info("request not retried", "request_id", x.id, "customer", x.customer, "route", x.route.Name, "reason", err.Error())
 		return false
 	}
-	return sleep(ctx, wait)
-}
-
-// sleep reports whether the whole wait passed before ctx ended.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, wait) == nil
 }
 
 // serveClaimed runs non-idempotent work at most once.
--- a/forward/pace.go
+++ b/forward/pace.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 )
 
 // paced returns src slowed down to the link budget of a server in another region,
@@ -30,7 +32,7 @@
 		return n, err
 	}
 	wait := p.pick.Charge(p.upload, n)
-	if err == nil && !sleep(p.ctx, wait) {
+	if err == nil && sleep.For(p.ctx, wait) != nil {
 		return n, p.ctx.Err()
 	}
 	return n, err
--- a/identity/run.go
+++ b/identity/run.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/platform"
 )
 
@@ -32,7 +33,7 @@
 			logger.Warn("registration not renewed", "instance", h.config.Name, "error", err)
 			delay = jittered(retryInterval, h.jitter())
 		}
-		if !sleep(ctx, delay) {
+		if sleep.For(ctx, delay) != nil {
 			return nil
 		}
 	}
@@ -44,18 +45,6 @@
 	return d - time.Duration(0.15*unit*float64(d))
 }
 
-// sleep waits for d. It returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // scanPage is the number of rows of one Scan call. Hosted table services return
 // 1,000 at most; two pages carry the target fleet.
 const scanPage = 250
--- a/identity/watcher.go
+++ b/identity/watcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/platform"
 )
 
@@ -41,7 +42,7 @@
 	var both sync.WaitGroup
 	w.Bootstrap(ctx)
 	both.Go(func() {
-		if sleep(ctx, w.Fleet().FirstScanDelay(w.jitter())) {
+		if sleep.For(ctx, w.Fleet().FirstScanDelay(w.jitter())) == nil {
 			w.every(ctx, w.Scan, Fleet.ScanInterval, "scan registrations")
 		}
 	})
@@ -54,7 +55,7 @@
 		if err := step(ctx); err != nil && ctx.Err() == nil {
 			w.logger.Warn("membership not updated", "step", what, "error", err)
 		}
-		if !sleep(ctx, jittered(interval(w.Fleet()), w.jitter())) {
+		if sleep.For(ctx, jittered(interval(w.Fleet()), w.jitter())) != nil {
 			return
 		}
 	}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/internal/testfleet"
 	"github.com/jacinthrack/jacinthrack/operatorapi"
 )
@@ -64,7 +65,7 @@
 		return row, err
 	}
 	defer fleet.Stop()
-	if err := sleep(ctx, settle); err != nil {
+	if err := sleep.For(ctx, settle); err != nil {
 		return row, err
 	}
 	row.HeapMB = float64(heap()-before) / 1e6 / float64(size.Instances)
@@ -89,7 +90,7 @@
 	cpu := processorTime()
 	counts := fleet.Platform.Store.Counts()
 	sent, received := bytesOf(fleet)
-	if err := sleep(ctx, r.Measured); err != nil {
+	if err := sleep.For(ctx, r.Measured); err != nil {
 		return err
 	}
 	seconds := r.Measured.Seconds()
@@ -127,7 +128,7 @@
 		return err
 	}
 	for !fleet.Entries[0].Ready() {
-		if err := sleep(ctx, time.Millisecond); err != nil {
+		if err := sleep.For(ctx, time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -156,7 +157,7 @@
 		if err == nil && done(status) {
 			return nil
 		}
-		if err := sleep(ctx, 10*time.Millisecond); err != nil {
+		if err := sleep.For(ctx, 10*time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -179,17 +180,6 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i) }
 
 func zonesOf(size Size) []string {
--- a/keys/store.go
+++ b/keys/store.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/platform"
-	"github.com/jacinthrack/jacinthrack/platform/poll"
 )
 
 // Rows of the keys.
@@ -102,7 +102,7 @@
 		case !platform.IsConflict(err):
 			return 0, err
 		}
-		poll.Sleep(ctx, attemptPause*time.Duration(attempt+1))
+		_ = sleep.For(ctx, attemptPause*time.Duration(attempt+1))
 	}
 	if unknown != nil {
 		return 0, &ChangeUnknownError{KeyID: id, ChangeID: changeID, Err: unknown}
--- a/limits/step.go
+++ b/limits/step.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 	"github.com/jacinthrack/jacinthrack/platform"
 )
 
@@ -42,7 +44,7 @@
 	for try := range releaseTries {
 		if try > 0 {
 			// Lent tokens keep a process in its ledger until they have ended.
-			sleepFor(ctx, loanHold)
+			_ = sleep.For(ctx, loanHold)
 		}
 		errs = nil
 		if err := m.readAll(ctx); err != nil {
@@ -56,16 +58,6 @@
 	return errs
 }
 
-// sleepFor waits for d or until ctx is done.
-func sleepFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // left reports whether this process is in no ledger.
 func (m *Manager) left() bool {
 	for _, s := range *m.slots.Load() {
@@ -159,20 +151,23 @@
 
 // writeAll writes the rows that are due, in the order of their names.
 func (m *Manager) writeAll(ctx context.Context, propose proposeFunc) []error {
-	slots := *m.slots.Load()
-	names := make([]string, 0, len(slots))
-	for name := range slots {
-		names = append(names, name)
-	}
-	sort.Strings(names)
+	return inParallel(*m.slots.Load(), m.opts.Parallel, func(name string, s *slot) error {
+		return m.write(ctx, name, s, propose)
+	})
+}
+
+// inParallel calls do for each entry, in the order of the names and at most limit at
+// a time. It returns the errors in that order.
+func inParallel[T any](entries map[string]T, limit int, do func(name string, entry T) error) []error {
+	names := slices.Sorted(maps.Keys(entries))
 	errs := make([]error, len(names))
-	permits := make(chan struct{}, m.opts.Parallel)
+	permits := make(chan struct{}, limit)
 	var wait sync.WaitGroup
 	for i, name := range names {
 		permits <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-permits }()
-			errs[i] = m.write(ctx, name, slots[name], propose)
+			errs[i] = do(name, entries[name])
 		})
 	}
 	wait.Wait()
--- a/limits/switch.go
+++ b/limits/switch.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jacinthrack/jacinthrack/internal/sleep"
 )
 
 // Limiter holds a process's parts of all limits. *Manager, *ZoneManager and
@@ -140,14 +142,9 @@
 
 // retire returns what a released limiter could not return at first.
 func retire(ctx context.Context, old Limiter) {
-	timer := time.NewTimer(modeRetireAfter)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-timer.C:
+	if sleep.For(ctx, modeRetireAfter) == nil {
+		releaseWithin(ctx, old)
 	}
-	releaseWithin(ctx, old)
 }
 
 func releaseWithin(ctx context.Context, l Limiter) {
--- a/limits/tenure.go
+++ b/limits/tenure.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,20 +115,9 @@
 	if err := t.readAll(ctx); err != nil {
 		errs = append(errs, &StepError{Op: "read", Err: err})
 	}
-	slots := *t.slots.Load()
-	names := slices.Sorted(maps.Keys(slots))
-	results := make([]error, len(names))
-	permits := make(chan struct{}, t.opts.Parallel)
-	var wait sync.WaitGroup
-	for i, name := range names {
-		permits <- struct{}{}
-		wait.Go(func() {
-			defer func() { <-permits }()
-			results[i] = t.write(ctx, name, slots[name], propose)
-		})
-	}
-	wait.Wait()
-	return append(errs, withoutNil(results)...)
+	return append(errs, inParallel(*t.slots.Load(), t.opts.Parallel, func(name string, s *keeperSlot) error {
+		return t.write(ctx, name, s, propose)
+	})...)
 }
 
 func (t *tenure) readAll(ctx context.Context) error {
