demo: drain a backend server during the run and count executions

Cause: the demo showed four of the five measures; drain time needs the stand-in's control API.

Change: the test fleet serves that API, and the demo drains one server halfway through.

--- a/command/bench.go
+++ b/command/bench.go
@@ -84,6 +84,8 @@
 	if err != nil {
 		return nil, err
 	}
+	plan.Control = fleet.ControlAddress
+	plan.Drain = drainOf(fleet.Document, settings.duration)
 	select {
 	case <-time.After(shareWait):
 	case <-ctx.Done():
@@ -92,6 +94,22 @@
 	return bench.Run(ctx, plan)
 }
 
+// drainNotice is the time in which the draining server still takes work, so that
+// work sent to it is seen.
+const drainNotice = 4 * time.Second
+
+// drainOf drains the second backend server halfway through a run. The first one
+// answers the direct requests of the overhead comparison.
+func drainOf(doc *config.Document, duration time.Duration) *bench.Drain {
+	return &bench.Drain{
+		Server:   doc.BackendServers[1%len(doc.BackendServers)].Name,
+		At:       config.Duration(duration / 2),
+		Announce: true,
+		Notice:   config.Duration(drainNotice),
+		Watch:    config.Duration(drainNotice + time.Second),
+	}
+}
+
 // instanceZones spreads the entry instances over the availability zones.
 func instanceZones(doc *config.Document) []string {
 	zones := make([]string, demoInstances)
--- a/internal/testfleet/testfleet.go
+++ b/internal/testfleet/testfleet.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/config"
@@ -46,6 +49,9 @@
 
 	options Options
 	cancel  context.CancelFunc
+	control *http.Server
+	// ControlAddress serves the control API of the backend servers.
+	ControlAddress string
 }
 
 // Start starts the stand-ins and the entry instances and publishes the
@@ -99,6 +105,23 @@
 	document.BackendServers = f.Backends.BackendServers()
 	f.Document = &document
 	f.listInstances()
+	return f.serveControl()
+}
+
+// serveControl serves the control API of the backend servers.
+func (f *Fleet) serveControl() error {
+	listener, err := net.Listen("tcp", anyAddress)
+	if err != nil {
+		f.Stop()
+		return &standin.ListenError{Address: anyAddress, Err: err}
+	}
+	f.ControlAddress = listener.Addr().String()
+	f.control = &http.Server{Handler: f.Backends.Control(), ReadHeaderTimeout: time.Second}
+	go func() {
+		if err := f.control.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			f.options.Log.Error("control API failed", "error", err)
+		}
+	}()
 	return nil
 }
 
@@ -183,6 +206,9 @@
 			f.Kill(i)
 		}
 	}
+	if f.control != nil {
+		f.control.Close()
+	}
 	if f.Backends != nil {
 		f.Backends.Close()
 	}
--- a/limits/doc.go
+++ b/limits/doc.go
@@ -18,4 +18,12 @@
 //     the row starts with a full bucket.
 //
 // So the tokens of all holders together never exceed those of one exact bucket.
+//
+// In a small fleet each instance is a holder (Manager) and may lend tokens to a
+// request that waits at another one (Lend). In a large fleet the availability zones
+// are the holders: a keeper divides its zone's shares among the instances (Zone,
+// Keeper, Member, ZoneManager). Switch changes between the two.
+//
+// Only limits live here. What a limit is for, a customer or a shift, is up to the
+// caller, and gRPC is not imported.
 package limits
