balancer: decide about a shift once for each pick

Cause: a request that waits for room looks for it every 5 ms, and each look decided about its shift again and took another token of the cap. The shift then moved less than its cap allows.

Change: the decision is made before the wait.

Before: 11 tokens for one request that waits 50 ms. After: 1, in TestWaitingRequestTakesOneShiftToken, which fails with the decision in the loop.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -127,6 +127,26 @@
 	must.Between(t, requests/4-44, shifted, requests/4+44)
 }
 
+// Guards against a request that takes a token of a shift each time it looks for
+// room while it waits.
+func TestWaitingRequestTakesOneShiftToken(t *testing.T) {
+	shift := config.Shift{
+		Name: "to-new", Route: "check", Fraction: 1, CapPerSecond: 1000,
+		From: mustSelector(t, "tier=old"), To: mustSelector(t, "tier=new"),
+	}
+	index := testIndex(t, shift)
+	admitted := &tokens{left: 1000}
+	b := newTestBalancer(t, "n1", "north-a", index, admitted)
+	for refusal := (*problem.Document)(nil); refusal == nil; {
+		_, refusal = pick(b, 1)
+	}
+	index.Document().Policy.QueueWait = config.Duration(10 * roomCheckInterval)
+	before := admitted.left
+	_, refusal := pick(b, 1)
+	must.NotNil(t, refusal)
+	must.Eq(t, 1, before-admitted.left)
+}
+
 // Guards against attempts that are counted twice or for ever.
 func TestCountsReturnToZero(t *testing.T) {
 	b := newTestBalancer(t, "n1", "north-a", testIndex(t), &tokens{})
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -49,10 +49,14 @@
 	if s == nil {
 		return nil, problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.RanNo, "no configuration is in force").WithRetryAfter(retryAfter)
 	}
-	deadline := time.Now().Add(s.index.Document().Policy.QueueWait.Std())
+	start := time.Now()
+	deadline := start.Add(s.index.Document().Policy.QueueWait.Std())
+	// Decided once: a request that waits takes one token of a shift, not one for
+	// each look for room.
+	req := b.request(s, call, start)
 	for first := true; ; first = false {
 		now := time.Now()
-		decision, err := b.place(s, call, now)
+		decision, err := b.place(s, call, req, now)
 		if err == nil {
 			return b.picked(s, call, decision), nil
 		}
@@ -121,9 +125,8 @@
 }
 
 // place chooses a server and reserves everything that the attempt needs.
-func (b *Balancer) place(s *state, call forward.Call, now time.Time) (placement.Decision, error) {
+func (b *Balancer) place(s *state, call forward.Call, req placement.Request, now time.Time) (placement.Decision, error) {
 	in := b.inputs(s, call, now)
-	req := b.request(s, call, now)
 	b.mu.Lock()
 	decision := s.book.Place(req, in, b.rng, now)
 	b.mu.Unlock()
