--- a/balancer/done.go
+++ b/balancer/done.go
@@ -22,10 +22,6 @@
 	decision placement.Decision
 }
 
-// quarantineDeaths is the number of deaths at which a fingerprint is quarantined,
-// and so must not be retried.
-const quarantineDeaths = 2
-
 // done ends the attempt. It implements forward.Pick.Done.
 func (t *ticket) done(r forward.Result) (crashes bool) {
 	b := t.balancer
@@ -45,7 +41,7 @@
 		b.opts.OnSuspects()
 	}
 	b.quarantine.End(fingerprint, t.decision.Server, r.Status > 0 && r.Err == nil, now)
-	return b.quarantine.Deaths(fingerprint, now) >= quarantineDeaths
+	return b.quarantine.Deaths(fingerprint, now) >= quarantine.Threshold
 }
 
 // observe feeds an event to the server's state machine.
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -33,11 +33,3 @@
 	}
 	return p.LookupMaxAge.Std()
 }
-
-// Utilization returns the share of a server's slots that may be used.
-func (p Policy) Utilization() float64 {
-	if p.MaxUtilization == 0 {
-		return 1
-	}
-	return p.MaxUtilization
-}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -104,17 +104,9 @@
 	}
 }
 
-// staleness returns the bound of a route.
-func staleness(route *config.Route) time.Duration {
-	if bound := route.KeyStaleness.Std(); bound > 0 {
-		return bound
-	}
-	return config.DefaultKeyStaleness
-}
-
 // Authorize implements forward.Authorizer.
 func (k *keyService) Authorize(presented string, route *config.Route) (string, *problem.Document) {
-	customer, err := k.Check(presented, route.Name, staleness(route))
+	customer, err := k.Check(presented, route.Name, route.StalenessBound())
 	if err == nil {
 		return customer, nil
 	}
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -33,9 +33,8 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
-	mu    sync.Mutex
-	table *lookup.Table
-	doc   *configstore.Snapshot
+	mu  sync.Mutex // held while a snapshot is made
+	doc *config.Document
 }
 
 // Name implements kernel.Service.
@@ -87,46 +86,37 @@
 	}
 }
 
-// setConfig builds the table of a new generation.
+// setConfig builds the snapshot of a new generation.
 func (l *lookups) setConfig(s *configstore.Snapshot) {
-	table, err := lookup.FromDocument(s.Document())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	snapshot, err := lookup.NewSnapshot(s.Generation, s.Document(), l.candidates())
 	if err != nil {
 		// Validation admits only documents that have a table.
-		l.log.Error("client block table was not built", "generation", s.Generation, "error", err)
+		l.log.Error("look-up snapshot was not built", "generation", s.Generation, "error", err)
 		return
 	}
-	l.mu.Lock()
-	l.table, l.doc = table, s
-	l.mu.Unlock()
-	l.refresh()
+	l.doc = s.Document()
+	l.swap(snapshot)
 }
 
-// refresh swaps the snapshot if the configuration or the membership changed.
+// refresh swaps the snapshot if the membership changed.
 func (l *lookups) refresh() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.doc == nil {
-		return
-	}
-	view := lookup.NewView(l.doc.Document(), l.candidates())
 	old := l.snapshot.Load()
-	if old != nil && old.Generation == l.doc.Generation && old.View.Version() == view.Version() {
+	if old == nil {
 		return
 	}
-	l.snapshot.Store(&lookup.Snapshot{
-		Generation: l.doc.Generation,
-		Table:      l.table,
-		View:       view,
-		MaxAge:     maxAge(l.doc.Document()),
-	})
-	l.log.Info("look-up view changed", "generation", l.doc.Generation, "instances", view.Len())
+	snapshot := old.WithMembers(l.doc, l.candidates())
+	if snapshot.View.Version() != old.View.Version() {
+		l.swap(snapshot)
+	}
 }
 
-func maxAge(doc *config.Document) time.Duration {
-	if doc.Policy.LookupMaxAge == 0 {
-		return config.DefaultLookupMaxAge
-	}
-	return doc.Policy.LookupMaxAge.Std()
+func (l *lookups) swap(s *lookup.Snapshot) {
+	l.snapshot.Store(s)
+	l.log.Info("look-up view changed", "generation", s.Generation, "instances", s.View.Len())
 }
 
 // candidates returns the entry instances that look-ups may name. This instance
--- a/entry/withdraw.go
+++ b/entry/withdraw.go
@@ -115,7 +115,7 @@
 		return bound
 	}
 	for _, route := range index.Document().Routes {
-		bound = max(bound, staleness(&route))
+		bound = max(bound, route.StalenessBound())
 	}
 	return bound
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -100,10 +100,7 @@
 }
 
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, x *exchange) *problem.Document {
-	limit := x.route.MaxBodyBytes
-	if limit == 0 {
-		limit = config.DefaultMaxBodyBytes
-	}
+	limit := x.route.BodyLimit()
 	hold := int64(BufferBytes)
 	if !x.route.Idempotent {
 		limit = min(limit, MaxClaimedBodyBytes)
@@ -114,6 +111,7 @@
 		return callerProblem(err, problem.RanNo)
 	}
 	x.body = body
+	x.fingerprint = fingerprint(r, x)
 	return nil
 }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -26,8 +26,10 @@
 	path     string // path and query for the backend server
 	body     *requestBody
 	claim    Claim
-	sent     bool // bytes of some attempt may have reached a backend server
-	tried    []string
+	// fingerprint identifies the work, from when the body was read.
+	fingerprint uint64
+	sent        bool // bytes of some attempt may have reached a backend server
+	tried       []string
 }
 
 // ran returns what a refusal may say about the request.
@@ -40,15 +42,15 @@
 
 func (x *exchange) weight(index *config.Index) float64 {
 	customer, ok := index.Customer(x.customer)
-	if !ok || customer.Weight <= 0 {
-		return 1
+	if !ok {
+		return 1 // a request on a route open to all
 	}
-	return customer.Weight
+	return customer.FairWeight()
 }
 
 // fingerprint identifies requests that are the same work for a backend server.
 // The body is left out when it is streamed.
-func (x *exchange) fingerprint(r *http.Request) uint64 {
+func fingerprint(r *http.Request, x *exchange) uint64 {
 	h := xxhash.New()
 	for _, part := range []string{x.route.Name, r.Method, x.path, x.customer} {
 		_, _ = h.WriteString(part)
--- a/forward/try.go
+++ b/forward/try.go
@@ -45,7 +45,7 @@
 		RequestID:   x.id,
 		Customer:    x.customer,
 		Route:       x.route,
-		Fingerprint: x.fingerprint(r),
+		Fingerprint: x.fingerprint,
 		Attempt:     n,
 		Exclude:     x.tried,
 		BodyBytes:   x.body.length,
--- a/lookup/snapshot.go
+++ b/lookup/snapshot.go
@@ -25,11 +25,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("build look-up table of generation %d: %w", generation, err)
 	}
-	maxAge := doc.Policy.LookupMaxAge.Std()
-	if maxAge == 0 {
-		maxAge = config.DefaultLookupMaxAge
-	}
-	return &Snapshot{Generation: generation, Table: table, View: NewView(doc, members), MaxAge: maxAge}, nil
+	return &Snapshot{Generation: generation, Table: table, View: NewView(doc, members), MaxAge: doc.Policy.MaxAge()}, nil
 }
 
 // WithMembers returns a snapshot of the same generation with another membership
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -22,9 +22,9 @@
 const (
 	// Expiry is the age at which deaths are forgotten.
 	Expiry = 10 * time.Minute
-	// quarantineDeaths deaths quarantine a fingerprint. One death has many
+	// Threshold deaths quarantine a fingerprint. One death has many
 	// innocent bystanders, the requests that ran on the same server.
-	quarantineDeaths = 2
+	Threshold = 2
 	// maxEntries bounds the memory. Entries with fewer deaths and older ones go
 	// first. A server has at most a few hundred requests in progress.
 	maxEntries = 4096
@@ -111,7 +111,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.live(f, now); e != nil {
-		if e.deaths() >= quarantineDeaths {
+		if e.deaths() >= Threshold {
 			return &QuarantinedError{Fingerprint: f, Deaths: e.deaths(), RetryAfter: Expiry - now.Sub(e.at)}
 		}
 		if l.running[f] > 0 {
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -97,7 +97,7 @@
 // its own knowledge: after one death it runs one at a time, after two none, so that
 // it loses at most max(2, Copies) servers.
 func (s Spread) MaxCrashes() int {
-	first := max(quarantineDeaths, s.Copies)
+	first := max(Threshold, s.Copies)
 	alone := s.Instances * first
 	if s.Resend <= 0 {
 		return alone
