dispatch: bound both directions of a region's share while load drops

When load ends, the requests that are left are those that waited for a few busy servers. The slack of two requests for each instance let all of them run in one region, and nothing bounded a move back to the instance's own region.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -219,6 +219,57 @@
 	}
 }
 
+// When load drops to a few requests that all prefer one region, the instances of a
+// region together must not move more of them than the bound, in either direction.
+func TestFewRequestsKeepTheRegionShare(t *testing.T) {
+	const most, instances = 0.15, 3
+	for name, c := range map[string]struct{ far, last string }{
+		"to another region": {far: "c", last: "c"},
+		"back to this one":  {far: "c", last: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var total, far [3]int // in windows of two seconds
+			for range instances {
+				table, _ := newTable(t, 100, "a", "c")
+				table.SetRegionMove(most)
+				for ms := 0; ms < 6000; ms += 20 {
+					now := start.Add(time.Duration(ms) * time.Millisecond)
+					zone := "a"
+					if ms%40 == 0 {
+						zone = c.far
+					}
+					if ms >= 4000 {
+						zone = c.last
+						if ms%160 != 0 {
+							continue
+						}
+					}
+					r := request(objectOf(table, zone, uint64(ms)), now)
+					d, w := table.Submit(r, now)
+					must.Nil(t, w)
+					total[ms/2000]++
+					if d.Server.Region == "r2" {
+						far[ms/2000]++
+					}
+					table.Finish(r, d.Server, Result{Outcome: Cancelled}, now)
+				}
+			}
+			before, after := float64(far[1])/float64(total[1]), float64(far[2])/float64(total[2])
+			must.InDelta(t, before, after, most)
+		})
+	}
+}
+
+// objectOf returns an object whose first server is in a zone.
+func objectOf(table *Table, zone string, from uint64) uint64 {
+	for object := from*1000 + 1; ; object++ {
+		order := table.homesOf(&Request{Object: object}, table.services["books"], start)
+		if order.servers[0].Zone == zone {
+			return object
+		}
+	}
+}
+
 // A server that fails its callers must be tried again later, and more rarely the
 // longer it fails.
 func TestFailingServerIsTriedAgain(t *testing.T) {
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -84,6 +84,7 @@
 	members  int
 	rng      *rand.Rand
 	pacer    pacer
+	open     map[string]bool // reused by openRegions
 }
 
 // service is the pool of servers with the requests that wait for one.
@@ -105,6 +106,8 @@
 		work:     make(map[string]time.Duration),
 		members:  1,
 		rng:      rng,
+		open:     make(map[string]bool),
+		pacer:    pacer{home: place.Region},
 	}
 }
 
@@ -301,20 +304,33 @@
 // becomes free soon at a server that knows the object can be worth the wait. possible
 // reports whether some server may run the request.
 func (t *Table) choose(r *Request, now time.Time) (best *Server, possible bool) {
-	best = t.cheapest(r, now, func(s *Server) bool { return t.paced(r, s, now) })
-	if best == nil {
-		// Without a server in this region there is no choice.
-		best = t.cheapest(r, now, func(*Server) bool { return true })
+	open := t.openRegions(r, now)
+	best = t.cheapest(r, now, func(s *Server) bool { return open[s.Region] })
+	if best != nil && t.room(best, now) {
+		return best, true
 	}
-	if best != nil && !t.room(best, now) {
+	if best != nil && open[t.place.Region] {
 		return nil, true
 	}
-	return best, best != nil
+	// When the regions that may take more have no room, this region takes the
+	// request; when they have no server at all, any region does.
+	other := t.cheapest(r, now, func(s *Server) bool { return best == nil || s.Region == t.place.Region })
+	if other != nil && t.room(other, now) {
+		return other, true
+	}
+	return nil, best != nil || other != nil
 }
 
-// paced reports whether a request may go to the region of a server now.
-func (t *Table) paced(r *Request, s *Server, now time.Time) bool {
-	return r.Bound || s.Region == t.place.Region || t.pacer.allows(s.Region, now)
+// openRegions returns the regions to which a request may go now.
+// The result is valid until the next call.
+func (t *Table) openRegions(r *Request, now time.Time) map[string]bool {
+	clear(t.open)
+	for _, region := range t.place.Regions {
+		if _, known := t.open[region]; !known {
+			t.open[region] = r.Bound || t.pacer.allows(region, now)
+		}
+	}
+	return t.open
 }
 
 // cheapest returns the server of lowest cost among those that may run the request.
