quota: a few holders for each quota, whole loans, and the slack granted

Cause: each instance held 1/n of every quota. Below a request per second that part has no whole token most of the time. Change: a quota is held in equal parts by as many instances as its rate feeds with 2 requests a second, at least one in each availability zone, at most one for each request of the burst. All instances derive them from the registered members. Others borrow whole tokens from holders, idle holders lend all they have, instances that did not answer are asked last for 2 s, and 0.7 of the slack that the settings allow is granted with the burst. Ruled out: borrowing ahead of need (most of the delay is at instances that a customer uses rarely, where it would hoard); fractional loans (parts of a token were left at 100 instances that were each short of the rest).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,16 +107,24 @@
 }
 
 // Members returns the number of instances that may be alive, this one included.
-func (v *View) Members() int {
+func (v *View) Members() int { return len(v.possible()) }
+
+// possible returns the instances that may be alive, this one included: those in the
+// store and those that were heard lately.
+func (v *View) possible() []Instance {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	n := 1 + len(v.registered)
+	list := make([]Instance, 0, 1+len(v.registered))
+	list = append(list, v.self)
+	for _, in := range v.registered {
+		list = append(list, in)
+	}
 	for address, s := range v.heard {
 		if _, ok := v.registered[address]; !ok && time.Since(s.at) < AliveFor {
-			n++
+			list = append(list, s.instance)
 		}
 	}
-	return n
+	return list
 }
 
 // Silent returns the registered instances that have not been heard for a time, which
--- a/fleet/lend.go
+++ b/fleet/lend.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"math"
 )
 
 // thousandths is the unit of the tokens that instances lend each other: in a large
@@ -26,19 +26,21 @@
 	Calls Calls
 }
 
+// Share implements gateway.Lenders.
+func (l *Lending) Share(customer string, rate, burst float64) float64 {
+	return l.View.Share(customer, rate, burst)
+}
+
 // Addresses implements gateway.Lenders.
-func (l *Lending) Addresses() (near, far []string) {
-	v := l.View
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	for _, s := range v.heard {
+func (l *Lending) Addresses(customer string, rate, burst float64) (near, far []string) {
+	self := l.View.self
+	for _, in := range holders(l.View.possible(), customer, rate, burst) {
 		switch {
-		case now.Sub(s.at) >= AliveFor:
-		case s.instance.Region == v.self.Region:
-			near = append(near, s.instance.PeerAddress)
+		case in.CallerAddress == self.CallerAddress:
+		case in.Region == self.Region:
+			near = append(near, in.PeerAddress)
 		default:
-			far = append(far, s.instance.PeerAddress)
+			far = append(far, in.PeerAddress)
 		}
 	}
 	return near, far
@@ -47,6 +49,6 @@
 // Borrow implements gateway.Lenders. Amounts are rounded so that no part of a token
 // is made.
 func (l *Lending) Borrow(ctx context.Context, address, customer string, tokens float64) (lent, left float64, err error) {
-	given, rest, err := l.Calls.Borrow(ctx, address, customer, uint32(tokens*thousandths)+1)
+	given, rest, err := l.Calls.Borrow(ctx, address, customer, uint32(math.Ceil(tokens*thousandths)))
 	return float64(given) / thousandths, float64(rest) / thousandths, err
 }
--- a/gateway/borrow.go
+++ b/gateway/borrow.go
@@ -6,6 +6,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/jacinthrack/jacinthrack/quota"
 )
 
 // Bounds of borrowing.
@@ -19,14 +21,19 @@
 	// emptyPause is the time without borrowing after nobody had tokens. It bounds
 	// the calls that a customer far above its rate causes.
 	emptyPause = 100 * time.Millisecond
-	// leftAge is the time after which what an instance had left is out of date.
-	leftAge = 300 * time.Millisecond
+	// leftAge is the time after which what an instance had left is out of date, and
+	// failedAge that after which an instance that did not answer is asked first again.
+	leftAge   = 300 * time.Millisecond
+	failedAge = 2 * time.Second
 )
 
-// Lenders are the other instances, as far as they lend tokens of quotas.
+// Lenders are the instances that hold parts of quotas and lend tokens.
 type Lenders interface {
-	// Addresses returns the instances that are alive, in this region and elsewhere.
-	Addresses() (near, far []string)
+	// Share returns the part of a customer's quota that this instance holds.
+	Share(customer string, rate, burst float64) float64
+	// Addresses returns the other instances that hold parts, in this region and
+	// elsewhere.
+	Addresses(customer string, rate, burst float64) (near, far []string)
 	// Borrow asks an instance for tokens of a customer. left is what it has then.
 	Borrow(ctx context.Context, address, customer string, tokens float64) (lent, left float64, err error)
 }
@@ -51,6 +58,7 @@
 // remainder is what an instance had left when it was asked.
 type remainder struct {
 	tokens float64
+	failed bool // it did not answer
 	at     time.Time
 }
 
@@ -85,7 +93,8 @@
 
 // round asks instances until the waiting requests are served or nobody is left.
 func (b *borrower) round(customer string, l *loans) {
-	near, far := b.lenders.Addresses()
+	limit := b.limit(customer)
+	near, far := b.lenders.Addresses(customer, limit.Rate, limit.Burst)
 	for _, address := range b.order(l, near)[:min(nearAsks, len(near))] {
 		b.ask(customer, l, address)
 		if b.serve(customer, l, false) {
@@ -100,14 +109,30 @@
 	b.serve(customer, l, true)
 }
 
-// order puts the instances with the most tokens first, and those of which nothing is
-// known before those that have none.
+// limit returns the quota of a customer, none if it has gone meanwhile.
+func (b *borrower) limit(customer string) quota.Limit {
+	g := b.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.Config().Customer(customer); c != nil {
+		return g.limit(c)
+	}
+	return quota.Limit{}
+}
+
+// order puts the instances with the most tokens first, those of which nothing is
+// known before those that have none, and those that did not answer last.
 func (b *borrower) order(l *loans, addresses []string) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	score := func(address string) float64 {
-		if r, ok := l.left[address]; ok && time.Since(r.at) < leftAge {
+		r, asked := l.left[address]
+		age := time.Since(r.at)
+		switch {
+		case asked && r.failed && age < failedAge:
+			return -1
+		case asked && !r.failed && age < leftAge:
 			return r.tokens
 		}
 		return unknownLeft
@@ -134,7 +159,7 @@
 		g.log.Debug("tokens were not borrowed", "customer", customer, "instance", address, "error", err)
 	}
 	b.mu.Lock()
-	l.left[address] = remainder{tokens: left, at: time.Now()}
+	l.left[address] = remainder{tokens: left, failed: err != nil, at: time.Now()}
 	b.mu.Unlock()
 	if lent > 0 {
 		g.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,8 +64,16 @@
 	// RegionMove is the share of the requests that may change the region in which
 	// they run from one window of two seconds to the next; 0 for no bound.
 	RegionMove float64
+	// QuotaSlack is the number of requests by which a customer may exceed its quota
+	// in the window in which quotas are held.
+	QuotaSlack float64
 }
 
+// quotaSlackUse is the part of the slack that is granted on top of each burst. In a
+// large fleet the part of a small customer's burst is less than a request, and each
+// request would wait for tokens of other instances. The rest covers restarts.
+const quotaSlackUse = 0.7
+
 // Options configure a Gateway.
 type Options struct {
 	Place    dispatch.Place
@@ -98,6 +106,7 @@
 	table   *dispatch.Table
 	quotas  *quota.Buckets
 	members int
+	listed  bool // members are known
 	rng     *rand.Rand
 	grants  map[*dispatch.Waiter]chan target
 	stop    chan struct{}
@@ -181,6 +190,7 @@
 	defer g.mu.Unlock()
 	g.policy = p
 	g.table.SetRegionMove(p.RegionMove)
+	g.setQuotas(time.Now())
 }
 
 // SetConfig puts a configuration in force unless a newer one is. It reports whether
@@ -198,32 +208,51 @@
 	return true
 }
 
-// setQuotas gives each customer this instance's part of its quota.
+// setQuotas sets the part of each customer's quota that this instance holds.
 func (g *Gateway) setQuotas(now time.Time) {
 	c := g.config.Load()
 	if c == nil {
 		return
 	}
-	share := 1 / float64(g.members)
 	for name, customer := range c.Customers() {
-		g.quotas.Set(name, quota.Limit{Rate: customer.Rate, Burst: customer.Burst}, share, now)
+		limit, share := g.limit(customer), 1/float64(g.members)
+		if g.loans.lenders != nil && g.listed {
+			share = g.loans.lenders.Share(name, limit.Rate, limit.Burst)
+		}
+		g.quotas.Set(name, limit, share, now)
 	}
 	g.quotas.Keep(func(name string) bool { return c.Customer(name) != nil })
 }
 
-// SetMembers sets the number of instances that may be alive.
+// limit returns the quota that the fleet grants a customer. The lock must be held.
+func (g *Gateway) limit(c *routes.Customer) quota.Limit {
+	return quota.Limit{Rate: c.Rate, Burst: c.Burst + quotaSlackUse*g.policy.QuotaSlack}
+}
+
+// SetMembers sets the number of instances that may be alive, and takes this instance's
+// parts of the quotas from the lenders, whose members may have changed.
 func (g *Gateway) SetMembers(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n = max(n, 1); n == g.members {
-		return
+	if n = max(n, 1); n != g.members {
+		g.log.Info("number of instances changed", "before", g.members, "now", n)
 	}
-	g.log.Info("number of instances changed", "before", g.members, "now", n)
-	g.members = n
+	if !g.listed {
+		// The parts until now were those of an unknown number of instances.
+		g.quotas.Clear()
+	}
+	g.members, g.listed = n, true
 	g.table.SetMembers(n)
 	g.setQuotas(time.Now())
 }
 
+// Members returns the number of instances that may be alive.
+func (g *Gateway) Members() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members
+}
+
 // SetServers takes the listed servers and the evacuated zones.
 func (g *Gateway) SetServers(servers []routes.Server, evacuated map[string]bool) {
 	now := time.Now()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,12 +1,15 @@
 // Package quota holds customers to their fleet-wide rates at one instance.
 //
-// Each instance has a part of every rate and burst. The parts of the instances that
-// may be alive add up to no more than the whole. An instance that runs out borrows
-// tokens of another one: tokens move between buckets, so that the whole holds
+// Some or all instances hold a part of a customer's rate and burst. The parts of the
+// instances that may be alive add up to no more than the whole. An instance that has no
+// token borrows from another one: tokens move between buckets, so that the whole holds
 // whatever instances know of each other. The package is pure; time is an argument.
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limit is a fleet-wide quota.
 type Limit struct {
@@ -25,7 +28,9 @@
 
 type bucket struct {
 	rate, burst float64 // this instance's part
+	whole       float64 // rate of the fleet
 	tokens      float64
+	demand      float64 // requests per second at this instance, admitted or not
 	at          time.Time
 }
 
@@ -48,10 +53,13 @@
 		b.buckets[customer] = k
 	}
 	k.refill(now)
-	k.rate, k.burst = l.Rate*share, l.Burst*share
+	k.rate, k.burst, k.whole = l.Rate*share, l.Burst*share, l.Rate
 	k.tokens = min(k.tokens, max(k.burst, 0))
 }
 
+// Clear forgets all customers, so that Set starts them anew.
+func (b *Buckets) Clear() { clear(b.buckets) }
+
 // Keep forgets the customers that known does not name.
 func (b *Buckets) Keep(known func(customer string) bool) {
 	for name := range b.buckets {
@@ -61,44 +69,71 @@
 	}
 }
 
+// refill moves the bucket to now.
 func (k *bucket) refill(now time.Time) {
+	k.demand *= math.Exp(-now.Sub(k.at).Seconds() / demandMemory.Seconds())
 	if k.tokens < k.burst {
 		k.tokens = min(k.burst, k.tokens+k.rate*now.Sub(k.at).Seconds())
 	}
 	k.at = now
 }
 
-// Take takes a token. Without one it returns the time until there is one.
+// Take takes a token. Without one it returns the time until there is one, somewhere in
+// the fleet if this instance holds no part.
 func (b *Buckets) Take(customer string, now time.Time) (ok bool, retryAfter time.Duration) {
 	k := b.buckets[customer]
 	if k == nil {
 		return true, 0
 	}
 	k.refill(now)
+	k.demand += 1 / demandMemory.Seconds()
 	if k.tokens >= 1 {
 		k.tokens--
 		return true, 0
 	}
-	wait := time.Duration((1 - k.tokens) / k.rate * float64(time.Second))
+	rate := k.rate
+	if rate == 0 {
+		rate = k.whole
+	}
+	wait := time.Duration((1 - k.tokens) / rate * float64(time.Second))
 	return false, max(wait, minRetryAfter)
 }
 
-// Lend gives up to the wanted amount of a customer's tokens away, at most half of
-// what is left, so that the lender does not have to borrow for its next request. left
-// is what remains. Tokens move and are never made, so that the whole stays the same.
+// Lend gives the wanted amount of a customer's tokens away, or what there is of it. The
+// lender keeps what its own demand needs for a second, at most half of what it has, so
+// that it does not have to borrow for its next request. left is what remains. Tokens
+// move and are never made, so that the whole stays the same.
+//
+// An instance whose part is a token or more lends whole ones: parts of a token would
+// lie unused at many instances that are each short of the rest.
 func (b *Buckets) Lend(customer string, wanted float64, now time.Time) (lent, left float64) {
 	k := b.buckets[customer]
 	if k == nil || wanted <= 0 {
 		return 0, 0
 	}
 	k.refill(now)
-	lent = max(0, min(wanted, k.tokens*lendShare))
-	k.tokens -= lent
+	keep := min(k.demand*keepFor.Seconds(), k.tokens*keepMost)
+	lent = max(0, min(wanted, k.tokens-keep))
+	if k.burst >= 1 {
+		lent = min(math.Ceil(wanted), math.Floor(k.tokens-keep+rounding))
+	}
+	k.tokens = max(0, k.tokens-lent)
 	return lent, k.tokens
 }
 
-// lendShare is the part of its tokens that an instance lends at once.
-const lendShare = 0.5
+// Bounds of lending.
+const (
+	// demandMemory is the time over which the demand at an instance is averaged. The
+	// callers of a small customer send a request every few seconds to each instance.
+	demandMemory = 2 * time.Second
+	// keepFor is the time for which a lender keeps tokens for its own demand. Lenders
+	// are asked when they have something left, so a short one suffices.
+	keepFor = time.Second
+	// rounding covers that sums of parts are not exact.
+	rounding = 1e-9
+	// keepMost is the part of its tokens that a lender keeps at most.
+	keepMost = 0.5
+)
 
 // Missing returns the part of a token that is missing for the next request.
 func (b *Buckets) Missing(customer string, now time.Time) float64 {
@@ -110,11 +145,12 @@
 	return max(0, 1-k.tokens)
 }
 
-// Receive adds borrowed tokens. They may exceed the bucket by one request.
+// Receive adds borrowed tokens. They may exceed the bucket, since they were asked for
+// by requests that wait for them.
 func (b *Buckets) Receive(customer string, tokens float64, now time.Time) {
 	if k := b.buckets[customer]; k != nil {
 		k.refill(now)
-		k.tokens = min(max(k.burst, 1), k.tokens+tokens)
+		k.tokens += tokens
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -95,3 +95,23 @@
 	must.LessEq(t, int(limit.Rate*5+limit.Burst), admitted)
 	must.Greater(t, int(0.8*limit.Rate*5), admitted)
 }
+
+// A small customer whose callers use an instance now and then must not have to ask
+// many others for a token: an idle instance lends all that it has.
+func TestIdleInstanceLendsAll(t *testing.T) {
+	limit := Limit{Rate: 20, Burst: 20}
+	idle, busy := New(1), New(1)
+	for _, b := range []*Buckets{idle, busy} {
+		b.Set("acme", limit, 0.1, start)
+	}
+	for range 5 {
+		busy.Take("acme", start)
+	}
+	now := start.Add(time.Second)
+	lent, left := idle.Lend("acme", 2, now)
+	must.Eq(t, 2, lent)
+	must.Eq(t, 0, left)
+	lent, left = busy.Lend("acme", 2, now)
+	must.Eq(t, 1, lent)
+	must.Eq(t, 1, left)
+}
