fleet: Lending takes Share from the view; one comparison for the order of holders

Found in the last read of the change: a wrapper that only passed its arguments on, a comparison written out where cmp.Or does it, and a comment that told the old rounding. Nothing behaves differently; the tests are unchanged.

--- a/fleet/holders.go
+++ b/fleet/holders.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -33,13 +33,7 @@
 		list = append(list, holder{instance: in, rank: mix.Bits(salt ^ xxhash.Sum64String(in.CallerAddress))})
 	}
 	slices.SortFunc(list, func(a, b holder) int {
-		switch {
-		case a.rank < b.rank:
-			return -1
-		case a.rank > b.rank:
-			return 1
-		}
-		return strings.Compare(a.instance.CallerAddress, b.instance.CallerAddress)
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.instance.CallerAddress, b.instance.CallerAddress))
 	})
 	turns := make(map[string]int)
 	for i := range list {
@@ -55,7 +49,8 @@
 	return chosen
 }
 
-// Share returns the part of a customer's quota that this instance holds.
+// Share returns the part of a customer's quota that this instance holds. Lending has it
+// as part of gateway.Lenders.
 func (v *View) Share(customer string, rate, burst float64) float64 {
 	all := holders(v.possible(), customer, rate, burst)
 	for _, in := range all {
--- a/fleet/lend.go
+++ b/fleet/lend.go
@@ -22,19 +22,14 @@
 
 // Lending finds instances that lend tokens. It implements gateway.Lenders.
 type Lending struct {
-	View  *View
+	*View
 	Calls Calls
 }
 
-// Share implements gateway.Lenders.
-func (l *Lending) Share(customer string, rate, burst float64) float64 {
-	return l.View.Share(customer, rate, burst)
-}
-
 // Addresses implements gateway.Lenders.
 func (l *Lending) Addresses(customer string, rate, burst float64) (near, far []string) {
-	self := l.View.self
-	for _, in := range holders(l.View.possible(), customer, rate, burst) {
+	self := l.self
+	for _, in := range holders(l.possible(), customer, rate, burst) {
 		switch {
 		case in.CallerAddress == self.CallerAddress:
 		case in.Region == self.Region:
@@ -46,8 +41,8 @@
 	return near, far
 }
 
-// Borrow implements gateway.Lenders. Amounts are rounded so that no part of a token
-// is made.
+// Borrow implements gateway.Lenders. What is asked for is rounded up: a request that
+// lacks a thousandth of a token could not be admitted.
 func (l *Lending) Borrow(ctx context.Context, address, customer string, tokens float64) (lent, left float64, err error) {
 	given, rest, err := l.Calls.Borrow(ctx, address, customer, uint32(math.Ceil(tokens*thousandths)))
 	return float64(given) / thousandths, float64(rest) / thousandths, err
