dispatch: do not count the answered request as load of other instances

Cause: a server writes X-Server-Load before the request ends, so that the report counts the request that it answers. The dispatcher took that request for another instance's: with 3 slots a third of each server stayed unused.

Change: the answered request is subtracted, unless the request was rejected or the servers of the service have shown with a report of 0 that they omit it. A report from a server other than the intended one is ignored.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -98,6 +98,9 @@
 	serviceTime      time.Duration // mean service time, 0 before the first sample
 	retryBudget      RetryBudget
 	weightedInFlight map[string]float64 // in-flight requests of each customer, divided by its weight
+	// reportsOmitAnswered is set once a server has reported no request with the response to a
+	// request that it ran: load reports of the service do not include that request.
+	reportsOmitAnswered bool
 }
 
 // NewDispatcher returns a dispatcher without servers, for an instance that is the only one.
@@ -425,7 +428,7 @@
 	if s.Removed && s.ownInFlight <= 0 && d.servers[s.ID] == s {
 		delete(d.servers, s.ID)
 	}
-	if result.WarmupLeft > 0 {
+	if result.WarmupLeft > 0 && result.Outcome != OutcomeMisdirected {
 		s.markCold(result.WarmupLeft, now)
 	}
 	failed := 0.0
@@ -443,15 +446,31 @@
 		s.observeServiceTime(result.Duration, now)
 	case OutcomeUnreachable, OutcomeMisdirected:
 		s.eject(now)
+		return // nothing that was reported comes from this server
 	case OutcomeCancelled:
 		return
 	}
 	s.failureRate += failureRateGain * (failed - s.failureRate)
 	if result.Load != nil {
-		s.applyLoadReport(*result.Load, now)
+		s.applyLoadReport(*result.Load, d.services[s.Service].answeredInReport(result), now)
 	}
 }
 
+// answeredInReport returns the number of requests in a load report that the response with the
+// report ends. A rejected request is not among the requests of the server.
+func (p *servicePool) answeredInReport(result AttemptResult) int {
+	if result.Outcome == OutcomeRejected {
+		return 0
+	}
+	if result.Load.InFlight == 0 {
+		p.reportsOmitAnswered = true
+	}
+	if p.reportsOmitAnswered {
+		return 0
+	}
+	return 1
+}
+
 // weight returns the weight of the request's customer, 1 by default.
 func (r *Request) weight() float64 {
 	if r.CustomerWeight > 0 {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -40,7 +40,8 @@
 )
 
 // LoadReport is the load that a server reports with a response, counted in requests of all
-// instances, and its number of slots.
+// instances, and its number of slots. Most servers write the header of a response before the
+// request ends, so that InFlight includes the request that the response belongs to.
 type LoadReport struct{ InFlight, Waiting, Slots int }
 
 // Server is what an instance knows about a backend server: its record from the platform,
@@ -123,13 +124,14 @@
 	return weight*s.reportedOtherLoad + (1-weight)*s.meanOtherLoad
 }
 
-// applyLoadReport takes the load that the server reported with a response. ownInFlight must
-// not include the request that the response belongs to.
-func (s *Server) applyLoadReport(l LoadReport, now time.Time) {
+// applyLoadReport takes the load that the server reported with a response. answered is the
+// number of requests in the report that the response ends, 0 or 1. ownInFlight must not
+// include the request that the response belongs to.
+func (s *Server) applyLoadReport(l LoadReport, answered int, now time.Time) {
 	if l.Slots > 0 {
 		s.Slots = l.Slots
 	}
-	s.reportedOtherLoad = max(0, float64(l.InFlight+l.Waiting-s.ownInFlight))
+	s.reportedOtherLoad = max(0, float64(l.InFlight+l.Waiting-answered-s.ownInFlight))
 	s.reportedAt = now
 	s.meanOtherLoad += meanLoadGain * (s.reportedOtherLoad - s.meanOtherLoad)
 }
