--- /dev/null
+++ b/dispatch/affinity.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/jacinthrack/jacinthrack/internal/mix"
+)
+
+// affinityOrder holds the first servers in the affinity order of an object, which is the
+// order of their rendezvous hashes. It is the same at all instances that have the same
+// servers.
+type affinityOrder struct {
+	servers [affinityRanks]*Server
+	hashes  [affinityRanks]uint64 // rendezvous hashes of servers and object, ascending
+}
+
+// affinityRanks is the number of servers with a rank of their own in an affinity order. All
+// further servers have the same rank.
+const affinityRanks = 4
+
+// affinityOrderOf returns the affinity order of the request's object among the servers that
+// the request may be sent to.
+func (d *Dispatcher) affinityOrderOf(r *Request, pool *servicePool, now time.Time) *affinityOrder {
+	var o affinityOrder
+	for _, s := range pool.servers {
+		if !d.eligible(r, s, now) {
+			continue
+		}
+		hash := mix.Bits(r.ObjectHash ^ s.idHash)
+		for i := range o.servers {
+			if o.servers[i] == nil || hash < o.hashes[i] {
+				o.servers[i], s = s, o.servers[i]
+				o.hashes[i], hash = hash, o.hashes[i]
+			}
+			if s == nil {
+				break
+			}
+		}
+	}
+	return &o
+}
+
+// rank returns the rank of a server, from 0. It is affinityRanks for all further servers.
+func (o *affinityOrder) rank(s *Server) int {
+	for i, other := range o.servers {
+		if other == s {
+			return i
+		}
+	}
+	return affinityRanks
+}
--- /dev/null
+++ b/dispatch/coldstart.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// freeSlotMargin is the number of slots that the estimated load must leave free for one
+// more request. The estimate is not a whole number: with half a slot free, the request is
+// as likely to find a slot as not.
+const freeSlotMargin = 0.5
+
+// nextColdRequest returns when this instance may send its next request to a cold server.
+// The time of its first request is random within the interval, since all instances learn
+// at about the same time that the server is cold.
+func (d *Dispatcher) nextColdRequest(s *Server) time.Time {
+	if s.nextColdRequest.Before(s.coldSince) {
+		s.nextColdRequest = s.coldSince.Add(time.Duration(d.rng.Float64() * float64(d.coldRequestInterval(s))))
+	}
+	return s.nextColdRequest
+}
+
+// coldRequestInterval returns the time between this instance's requests to a cold server.
+// It is 0 if the service has no warm-up rate.
+func (d *Dispatcher) coldRequestInterval(s *Server) time.Duration {
+	rate := d.pool(s.Service).config.WarmupRate
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(d.members) / rate * float64(time.Second))
+}
+
+// coldServerFactor is how many times longer a cold server is assumed to take for a request.
+const coldServerFactor = 2.0
+
+// hasFreeSlot reports whether a server can probably run one more request at once. A cold
+// server has no free slot before the next time at which it may get a request.
+func (d *Dispatcher) hasFreeSlot(s *Server, now time.Time) bool {
+	if s.isCold(now) && now.Before(d.nextColdRequest(s)) {
+		return false
+	}
+	return s.estimatedLoad(now)+freeSlotMargin <= float64(s.Slots)
+}
