dispatch: let requests wait at servers while they still end in time

Cause: a request started only if half a slot was free by the estimate of its instance.

Change: a request is sent if it waits at the server for at most half a service time, or for at most a whole one and still ends within its latency objective. The expected wait follows from the reported load, the slots and the service time of the server.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -10,7 +10,7 @@
 func (d *Dispatcher) chooseServer(r *Request, now time.Time) (best *Server, anyEligible bool) {
 	open := d.openRegions(r, now)
 	best = d.cheapest(r, now, func(s *Server) bool { return open[s.Region] })
-	if best != nil && d.hasFreeSlot(best, now) {
+	if best != nil && d.startable(r, best, now) {
 		return best, true
 	}
 	if best != nil && open[d.locality.Region] {
@@ -20,7 +20,7 @@
 	// regions is eligible, all regions are tried. If the best server there has no free slot,
 	// only the region of this instance is tried, which is not open here.
 	beyondBound := d.cheapest(r, now, func(s *Server) bool { return best == nil || s.Region == d.locality.Region })
-	if beyondBound != nil && d.hasFreeSlot(beyondBound, now) {
+	if beyondBound != nil && d.startable(r, beyondBound, now) {
 		return beyondBound, true
 	}
 	return nil, best != nil || beyondBound != nil
--- a/dispatch/coldstart.go
+++ b/dispatch/coldstart.go
@@ -4,11 +4,6 @@
 	"time"
 )
 
-// freeSlotMargin is the number of slots that the estimated load must leave free for one
-// more request. The estimate is not a whole number: with half a slot free, the request is
-// as likely to find a slot as not.
-const freeSlotMargin = 0.5
-
 // nextColdRequest returns when this instance may send its next request to a cold server.
 // The time of its first request is random within the interval, since all instances learn
 // at about the same time that the server is cold.
@@ -32,11 +27,8 @@
 // coldServerFactor is how many times longer a cold server is assumed to take for a request.
 const coldServerFactor = 2.0
 
-// hasFreeSlot reports whether a server can probably run one more request at once. A cold
-// server has no free slot before the next time at which it may get a request.
-func (d *Dispatcher) hasFreeSlot(s *Server, now time.Time) bool {
-	if s.isCold(now) && now.Before(d.nextColdRequest(s)) {
-		return false
-	}
-	return s.estimatedLoad(now)+freeSlotMargin <= float64(s.Slots)
+// awaitsColdStart reports whether a server is cold and must not get a request of this
+// instance yet.
+func (d *Dispatcher) awaitsColdStart(s *Server, now time.Time) bool {
+	return s.isCold(now) && now.Before(d.nextColdRequest(s))
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -73,14 +73,9 @@
 	return Decision{Verdict: VerdictWait, Reason: "no room", ReviewAt: w.nextReview(now)}, w
 }
 
-// newWaiter returns a waiter for a request. Its latest start times are estimated from the
-// mean service time of the route or, before the first sample, of the service.
+// newWaiter returns a waiter for a request.
 func (d *Dispatcher) newWaiter(r *Request, now time.Time) *Waiter {
-	serviceTime := d.routeServiceTimes[r.Route]
-	if serviceTime == 0 {
-		serviceTime = d.services[r.Service].meanServiceTime()
-	}
-	margin := time.Duration(serviceTimeMargin * float64(serviceTime))
+	margin := d.startMargin(r)
 	return &Waiter{Request: r, enqueuedAt: now, latestStartInObjective: r.ObjectiveAt.Add(-margin), latestStart: r.Deadline.Add(-margin)}
 }
 
