dispatch: reject a late request while others can still end in time

Cause: after a second or two of overload the late queue is full of requests that start only when nothing else waits.

Change: a late request waits only if no request of the service waits that can still end within its latency objective.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -96,12 +96,22 @@
 	if w.latestStartInObjective.After(now) {
 		return ""
 	}
+	if pool.queue.holdsInTime(w, now) {
+		return "late, and others can still end in time"
+	}
 	if d.lateWaitersAhead(pool, w, now) >= d.maxLateWaiters(pool, now) {
 		return "late and the queue is full"
 	}
 	return ""
 }
 
+// holdsInTime reports whether a request other than w waits that can still end within its
+// latency objective. A late request that waits with it would take its slot or, more often,
+// be rejected after the wait.
+func (q *waiterQueue) holdsInTime(w *Waiter, now time.Time) bool {
+	return slices.ContainsFunc(q.waiters, func(other *Waiter) bool { return other != w && other.latestStartInObjective.After(now) })
+}
+
 // lateWaitersAhead counts the late requests of at least the same priority that have
 // waited longer than w.
 func (d *Dispatcher) lateWaitersAhead(pool *servicePool, w *Waiter, now time.Time) int {
