dispatch: give objects a home in their region as far as its servers carry them

Change: a region takes in the share of its objects that its servers can carry at the mean load of the fleet, other regions the rest. The shares follow from the listed servers alone, so that instances agree without talking. Tests that need an object of another region set the share themselves.

--- a/dispatch/affinity.go
+++ b/dispatch/affinity.go
@@ -6,12 +6,12 @@
 	"github.com/jacinthrack/jacinthrack/internal/mix"
 )
 
-// affinityOrder holds the first servers in the affinity order of an object, which is the
-// order of their rendezvous hashes. It is the same at all instances that have the same
-// servers.
+// affinityOrder holds the first servers in the affinity order of an object: those nearest to
+// its home area first, and within the same distance by their rendezvous hashes. It is the
+// same at all instances of a zone that have the same servers.
 type affinityOrder struct {
 	servers [affinityRanks]*Server
-	hashes  [affinityRanks]uint64 // rendezvous hashes of servers and object, ascending
+	keys    [affinityRanks]uint64 // sort keys of the servers, ascending
 }
 
 // affinityRanks is the number of servers with a rank of their own in an affinity order. All
@@ -22,15 +22,17 @@
 // the request may be sent to.
 func (d *Dispatcher) affinityOrderOf(r *Request, pool *servicePool, now time.Time) *affinityOrder {
 	var o affinityOrder
+	home := pool.homeShares.homeAreaOf(r)
 	for _, s := range pool.servers {
 		if !d.eligible(r, s, now) {
 			continue
 		}
-		hash := mix.Bits(r.ObjectHash ^ s.idHash)
+		// The distance takes the two highest bits, the hash the others.
+		key := home.distance(s, d.locality)<<62 | mix.Bits(r.ObjectHash^s.idHash)>>2
 		for i := range o.servers {
-			if o.servers[i] == nil || hash < o.hashes[i] {
+			if o.servers[i] == nil || key < o.keys[i] {
 				o.servers[i], s = s, o.servers[i]
-				o.hashes[i], hash = hash, o.hashes[i]
+				o.keys[i], key = key, o.keys[i]
 			}
 			if s == nil {
 				break
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -269,8 +269,10 @@
 }
 
 // objectWithFirstServerIn returns the hash of an object whose first server in the affinity
-// order is in a zone. Different values of from give different objects.
+// order is in a zone, as if the region took in half of the objects. Different values of from
+// give different objects.
 func objectWithFirstServerIn(dispatcher *Dispatcher, zone string, from uint64) uint64 {
+	dispatcher.services["books"].homeShares = homeShares{region: 0.5}
 	for object := from*1000 + 1; ; object++ {
 		order := dispatcher.affinityOrderOf(&Request{ObjectHash: object}, dispatcher.services["books"], start)
 		if order.servers[0].Zone == zone {
@@ -383,3 +385,8 @@
 	must.LessEq(t, rate*maxRateFactor+slack, float64(sent))
 	must.Positive(t, sent)
 }
+
+// testServer returns the record of a server with four slots.
+func testServer(id, zone string) routes.Server {
+	return routes.Server{ID: id, Address: id + ":80", Service: "books", Zone: zone, Slots: 4, Ready: true, Incarnation: 1}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -51,6 +51,7 @@
 	servers          []*Server
 	queue            waiterQueue
 	serviceTime      time.Duration // mean service time, 0 before the first sample
+	homeShares       homeShares
 	retryBudget      RetryBudget
 	weightedInFlight map[string]float64 // in-flight requests of each customer, divided by its weight
 	// reportsOmitAnswered is set once a server has reported no request with the response to a
@@ -136,6 +137,9 @@
 			localSlots += s.Slots
 		}
 	}
+	for _, pool := range d.services {
+		pool.homeShares = homeSharesOf(pool.servers, d.locality)
+	}
 	d.regionShift.setLocalSlots(localSlots, now)
 }
 
