upstream: bound endless responses and reject late copies without an ID

Informational responses and responses to other requests were skipped without a limit. A late second copy of a response that has lost its request ID was passed to the next caller on the connection.

A body is buffered up to BodyBufferBytes+1 as documented.

Ruled out: chunk extensions and trailers, which net/http bounds (both tests pass on the earlier code); bodies, which are streamed as the caller reads. TestBytesWithoutEndAreBounded and TestLateSecondResponseReachesNoOtherCaller fail without the change.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -20,6 +20,8 @@
 	pool   *pool
 	socket net.Conn
 	reader *bufio.Reader
+	head   *headLimiter // source of reader
+	echoes bool         // the server has sent a request ID on this connection; used by readLoop only
 
 	mu                sync.Mutex
 	current           *exchange // request in flight, nil while idle
@@ -43,6 +45,7 @@
 
 // readLoop reads responses until the connection ends or must not carry another request.
 func (c *conn) readLoop() {
+	skipped := 0 // responses to other requests since the last delivered one
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
 			c.fail(err)
@@ -56,13 +59,18 @@
 			return
 		}
 		response, mismatched, err := c.readResponse(x)
-		if err != nil {
+		switch {
+		case err != nil:
 			c.fail(err)
 			return
-		}
-		if mismatched {
+		case mismatched && skipped >= maxSkippedResponses:
+			c.fail(&ResponseMismatchError{})
+			return
+		case mismatched:
+			skipped++
 			continue
 		}
+		skipped = 0
 		if !c.deliver(x, response) {
 			return
 		}
@@ -72,20 +80,20 @@
 // readResponse reads a response. mismatched is set if the response belongs to another
 // request; the response to x may still follow.
 func (c *conn) readResponse(x *exchange) (response *Response, mismatched bool, err error) {
-	resp, err := http.ReadResponse(c.reader, x.request)
+	resp, err := c.readHead(x)
 	if err != nil {
 		return nil, false, &MalformedResponseError{Err: err}
 	}
-	for resp.StatusCode >= 100 && resp.StatusCode < 200 {
-		if resp, err = http.ReadResponse(c.reader, x.request); err != nil {
-			return nil, false, &MalformedResponseError{Err: err}
-		}
-	}
 	responseID := resp.Header.Get(c.pool.idHeader)
 	body, complete, err := readBody(resp)
 	if err != nil {
 		return nil, false, &TruncatedResponseError{Status: resp.StatusCode, Err: err}
 	}
+	// A response without an ID may be a late copy of an earlier one if this server sends IDs.
+	if responseID == "" && c.echoes {
+		return nil, false, &ResponseMismatchError{}
+	}
+	c.echoes = c.echoes || responseID != ""
 	if responseID != "" && responseID != x.requestID {
 		if !complete {
 			return nil, false, &ResponseMismatchError{}
@@ -100,6 +108,23 @@
 	return response, false, nil
 }
 
+// readHead reads the head of a response and skips those of informational ones. A server in
+// trouble may send either without end, so that both are limited.
+func (c *conn) readHead(x *exchange) (*http.Response, error) {
+	for range maxInformationalResponses + 1 {
+		c.head.limit(maxResponseHeadBytes)
+		resp, err := http.ReadResponse(c.reader, x.request)
+		c.head.unlimit()
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
+			return resp, nil
+		}
+	}
+	return nil, &TooManyInformationalResponsesError{}
+}
+
 // readBody reads a body of up to BodyBufferBytes bytes. Of a longer body it reads only the first
 // BodyBufferBytes+1 bytes; complete is then false.
 func readBody(resp *http.Response) (body []byte, complete bool, err error) {
@@ -115,7 +140,7 @@
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
 		}
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		n, err := resp.Body.Read(buf[len(buf):min(cap(buf), BodyBufferBytes+1)])
 		buf = buf[:len(buf)+n]
 		if err == io.EOF {
 			return buf, true, nil
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -90,8 +90,9 @@
 // Unwrap returns the cause.
 func (e *TruncatedResponseError) Unwrap() error { return e.Err }
 
-// ResponseMismatchError reports a response that belongs to another request and whose body is longer than
-// BodyBufferBytes. Shorter ones are skipped.
+// ResponseMismatchError reports a response that belongs or may belong to another request: its
+// body is longer than BodyBufferBytes, it has no request ID although the server sends them, or
+// maxSkippedResponses shorter ones were skipped before it.
 type ResponseMismatchError struct{}
 
 func (*ResponseMismatchError) Error() string { return "the response belongs to another request" }
@@ -185,7 +186,8 @@
 	if c.onDial != nil {
 		c.onDial()
 	}
-	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), current: x, serverIdleTimeout: defaultIdleTimeout}
+	head := &headLimiter{source: socket}
+	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, current: x, serverIdleTimeout: defaultIdleTimeout}
 	go connection.readLoop()
 	return connection, nil
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -133,6 +133,33 @@
 	}
 }
 
+// Guards against a late second copy of a response that reaches the next caller on the
+// connection, with or without the ID of its request.
+func TestLateSecondResponseReachesNoOtherCaller(t *testing.T) {
+	withoutID := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+	for name, c := range map[string]struct{ second, body string }{
+		"with its ID":    {second: responseText("1", "one") + responseText("2", "two"), body: "two"},
+		"without its ID": {second: withoutID + responseText("2", "two")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The copy arrives when the second request is in flight.
+			s := newScriptedServer(t, responseText("1", "one"), c.second)
+			client := New("X-Id", nil)
+			_, _, err := send(t.Context(), client, s.address, http.MethodGet, "1")
+			must.NoError(t, err)
+			r, sent, err := send(t.Context(), client, s.address, http.MethodGet, "2")
+			must.True(t, sent)
+			if c.body == "" {
+				var mismatch *ResponseMismatchError
+				must.True(t, errors.As(err, &mismatch))
+				return
+			}
+			must.NoError(t, err)
+			must.Eq(t, c.body, string(r.Body))
+		})
+	}
+}
+
 // Guards against reusing a connection on which bytes followed the response.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	var dials atomic.Int32
@@ -146,6 +173,74 @@
 	must.Eq(t, 2, dials.Load())
 }
 
+// newEndlessServer starts a server that answers each request with a prefix and then repeats a
+// text until the client closes the connection. It returns the server's address, and a channel
+// that receives the number of bytes sent on a connection once the client has closed it.
+func newEndlessServer(t *testing.T, prefix, repeated string) (string, <-chan int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	bytesSent := make(chan int, 1)
+	block := strings.Repeat(repeated, 1+(64<<10)/len(repeated))
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		sent, err := io.WriteString(conn, prefix)
+		for err == nil {
+			var n int
+			n, err = io.WriteString(conn, block)
+			sent += n
+		}
+		bytesSent <- sent
+	}()
+	return listener.Addr().String(), bytesSent
+}
+
+// Guards against a server that sends bytes without end and thereby fills the memory of the
+// instance: the connection is closed after a bounded number of bytes. The context of the
+// request has no deadline.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	for name, c := range map[string]struct {
+		prefix, repeated string
+		streamed         bool // the response is passed on and its body is read until the caller closes it
+	}{
+		"status line":             {prefix: "HTTP/1.1 200 ", repeated: "O"},
+		"no response at all":      {repeated: "junk"},
+		"header lines":            {prefix: ok, repeated: "X-More: 1\r\n"},
+		"one header line":         {prefix: ok + "X-More: ", repeated: "1"},
+		"informational responses": {repeated: "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n"},
+		"responses to others":     {repeated: "HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 1\r\n\r\nx"},
+		"chunk extension":         {prefix: ok + "Transfer-Encoding: chunked\r\n\r\n1;", repeated: "x"},
+		"trailer":                 {prefix: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", repeated: "X-More: 1\r\n"},
+		"after the body":          {prefix: responseText("1", "one"), repeated: "x"},
+		"body without length":     {prefix: ok + "Connection: close\r\n\r\n", repeated: "x", streamed: true},
+		"chunks":                  {prefix: ok + "Transfer-Encoding: chunked\r\n\r\n", repeated: "1\r\nx\r\n", streamed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, bytesSent := newEndlessServer(t, c.prefix, c.repeated)
+			response, _, err := send(t.Context(), New("X-Id", nil), address, http.MethodGet, "1")
+			if c.streamed {
+				must.NoError(t, err)
+				must.LessEq(t, BodyBufferBytes+1, len(response.Body))
+				must.NotNil(t, response.RemainingBody)
+				must.NoError(t, response.RemainingBody.Close())
+			} else if err == nil {
+				must.Eq(t, "one", string(response.Body)) // the complete response before the bytes
+			}
+			const socketBuffers = 16 << 20 // bytes that the kernel may hold for both ends
+			must.LessEq(t, 2*BodyBufferBytes+socketBuffers, <-bytesSent)
+		})
+	}
+}
+
 // Guards against a truncated response that is reported as complete, and against an error for
 // a response without a length, whose body ends with the connection.
 func TestTruncatedAndUnframedResponses(t *testing.T) {
