ingress: reset the connection when a response that ends with it breaks off

Cause: for HTTP/1.0 callers the end of the connection marks the end of a streamed body of unknown length. When the server broke off, the connection was closed in the normal way and the part looked like the whole response.

Change: such a connection is reset.

--- a/ingress/write.go
+++ b/ingress/write.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -70,12 +71,30 @@
 		err = w.Flush()
 	}
 	if err != nil {
+		if endsWithConnection(p.request, r) {
+			c.resetOnClose()
+		}
 		c.cancel()
 		return false
 	}
 	return !last
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of the
+// response's body.
+func endsWithConnection(request *Request, r *Response) bool {
+	return mayHaveBody(request.Method, r.Status) && r.RemainingBody != nil && r.BodyLength < 0 && !request.ProtoAtLeast(1, 1)
+}
+
+// resetOnClose makes the socket reset the connection when it is closed. Otherwise a response that
+// ends with the connection would look complete although a part of it is missing.
+func (c *conn) resetOnClose() {
+	if tcp, ok := c.socket.(*net.TCPConn); ok {
+		// The only error to expect is that the socket is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // mayHaveBody reports whether a response with this status to a request with this method may
 // have a body.
 func mayHaveBody(method string, status int) bool {
