dispatch: at most 1.5 requests wait at a server whatever its slots

Cause: half a service time of queue for any request is four requests at eight slots.

Change: the queue that hides the delay of load reports is at most 1.5 requests. Servers of three slots are not affected.

--- a/dispatch/startable.go
+++ b/dispatch/startable.go
@@ -9,10 +9,11 @@
 // a more urgent one or be rejected, but the instance learns that a slot is free only from
 // the next response, and may learn it after the others.
 const (
-	// immediateQueuePerSlot is the number of requests for each slot that may wait at a server
-	// for any request to be sent there. They keep the slots in use until the instances have
-	// learned of a free one.
+	// immediateQueuePerSlot and maxImmediateQueue limit the number of requests that may wait
+	// at a server for any request to be sent there. They keep the slots in use until the
+	// instances have learned of a free one, which takes no more requests with more slots.
 	immediateQueuePerSlot = 0.5
+	maxImmediateQueue     = 1.5
 	// maxServerQueuePerSlot is the number of requests for each slot that may wait at a server
 	// for a request to be sent there that is expected to end within its latency objective.
 	// Servers reject requests if their queue is full, and instances that send at the same time
@@ -25,16 +26,16 @@
 	if d.awaitsColdStart(s, now) {
 		return false
 	}
-	// Requests for each slot that must end before this one starts.
-	ahead := (s.estimatedLoad(now)+1)/float64(s.Slots) - 1
-	if ahead <= immediateQueuePerSlot {
+	slots := float64(s.Slots)
+	ahead := s.estimatedLoad(now) + 1 - slots // requests that must end before this one starts
+	if ahead <= min(immediateQueuePerSlot*slots, maxImmediateQueue) {
 		return true
 	}
-	if ahead > maxServerQueuePerSlot {
+	if ahead > maxServerQueuePerSlot*slots {
 		return false
 	}
 	meanServiceTime := d.services[r.Service].meanServiceTime()
-	wait := time.Duration(ahead * float64(s.expectedServiceTime(meanServiceTime, now)))
+	wait := time.Duration(ahead / slots * float64(s.expectedServiceTime(meanServiceTime, now)))
 	return !now.Add(wait).After(r.ObjectiveAt.Add(-d.startMargin(r)))
 }
 
