dispatch: start waiting requests in order of arrival

Cause: newest first was meant to serve as many requests in time as there are slots for. Requests that cannot end in time are rejected now, and servers queue a few in order of arrival, so that it serves nothing any more.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -202,10 +202,7 @@
 
 // compareWaiters orders waiting requests. Requests that can still end within their latency
 // objective go before late ones. Within both groups requests are ordered by priority, then
-// by the customer's in-flight requests relative to its weight, fewest first. Last, requests
-// that are not late go newest first and late ones oldest first. Under overload, newest
-// first serves as many requests in time as there are slots for, while oldest first would
-// serve each of them just too late.
+// by the customer's in-flight requests relative to its weight, fewest first, then by arrival.
 func (p *servicePool) compareWaiters(a, b *Waiter, now time.Time) int {
 	inTimeA, inTimeB := a.latestStartInObjective.After(now), b.latestStartInObjective.After(now)
 	switch {
@@ -220,9 +217,6 @@
 	if inFlightA, inFlightB := p.weightedInFlight[a.Request.Customer], p.weightedInFlight[b.Request.Customer]; inFlightA != inFlightB {
 		return cmp.Compare(inFlightA, inFlightB)
 	}
-	if inTimeA {
-		return b.enqueuedAt.Compare(a.enqueuedAt)
-	}
 	return a.enqueuedAt.Compare(b.enqueuedAt)
 }
 
