--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -1,12 +1,10 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
-// chooseServer returns the server of the lowest cost, or nil if it has no free slot, even if
-// another server has one: it can be worth waiting for a slot at a server that has the object
-// in its cache. anyEligible reports whether the request may be sent to any server.
+// chooseServer returns the server of the lowest cost, or nil if the request should wait for that
+// server, even if another one has a free slot: it can be worth waiting for a server that has
+// the object in its cache. anyEligible reports whether the request may be sent to any server.
 func (d *Dispatcher) chooseServer(r *Request, now time.Time) (best *Server, anyEligible bool) {
 	open := d.openRegions(r, now)
 	best = d.cheapest(r, now, func(s *Server) bool { return open[s.Region] })
@@ -17,8 +15,8 @@
 		return nil, true
 	}
 	// The bound on region shifts does not apply to the second choice. If no server in the open
-	// regions is eligible, all regions are tried. If the best server there has no free slot,
-	// only the region of this instance is tried, which is not open here.
+	// regions is eligible, all regions are tried. If the request should wait for the best server
+	// there, only the region of this instance is tried, which is not open here.
 	beyondBound := d.cheapest(r, now, func(s *Server) bool { return best == nil || s.Region == d.locality.Region })
 	if beyondBound != nil && d.startable(r, beyondBound, now) {
 		return beyondBound, true
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -54,8 +54,8 @@
 	homeShares       homeShares
 	retryBudget      RetryBudget
 	weightedInFlight map[string]float64 // in-flight requests of each customer, divided by its weight
-	// reportsOmitAnswered is set once a server has reported no request with the response to a
-	// request that it ran: load reports of the service do not include that request.
+	// reportsOmitAnswered is set once a server has reported no request with a successful
+	// response: load reports of the service do not include the request that they come with.
 	reportsOmitAnswered bool
 }
 
--- a/dispatch/homes.go
+++ b/dispatch/homes.go
@@ -51,8 +51,9 @@
 )
 
 // homeAreaOf returns the home area of the request's object. Only objects of requests with a
-// large body have a home in the zone: each zone of the region then has a copy of the object in
-// the cache of a server, which is worth less than the traffic of small requests costs.
+// large body have a home in the zone. Each zone of the region then has a copy of the object in
+// the cache of a server; for small bodies, the traffic that this saves does not make up for
+// the space in the caches.
 func (h homeShares) homeAreaOf(r *Request) homeArea {
 	// The golden ratio makes the draw independent of the hashes that order the servers.
 	const goldenRatio = 0x9e3779b97f4a7c15
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
 // Outcome says how an attempt ended.
 type Outcome uint8
@@ -44,9 +42,7 @@
 		s.consecutiveFailures = 0
 		d.recordServiceTime(r, s, result.Duration, now)
 		s.rememberObject(r.ObjectHash, now)
-	case OutcomeRejected, OutcomeFailed:
-		failed = 1
-	case OutcomeIncomplete:
+	case OutcomeRejected, OutcomeFailed, OutcomeIncomplete:
 		failed = 1
 	case OutcomeTimedOut:
 		failed = 1
@@ -69,7 +65,7 @@
 	if result.Outcome == OutcomeRejected {
 		return 0
 	}
-	if result.Load.InFlight == 0 {
+	if result.Outcome == OutcomeSucceeded && result.Load.InFlight == 0 {
 		p.reportsOmitAnswered = true
 	}
 	if p.reportsOmitAnswered {
--- a/emulator/deployment.go
+++ b/emulator/deployment.go
@@ -108,7 +108,7 @@
 		}
 		deployment.ServersByZone = append(deployment.ServersByZone, region)
 	}
-	// Half of the caches suffice for all objects, as in a fleet that is sized for its data.
+	// All objects together take between a twentieth and a half of the space in all caches.
 	cached := deployment.Servers() * deployment.CacheObjects
 	deployment.ObjectsPerRegion = max(1, between(cached/20, cached/2)/len(deployment.ServersByZone))
 	return deployment
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -48,8 +48,8 @@
 	must.LessEq(t, 0.35, report.OtherRegion)
 }
 
-// On deployments of any shape: below the capacity nearly all callers are served, and under
-// overload the slots are used and no caller waits for an answer after its deadline.
+// On deployments of any shape, nearly all callers are served far below the capacity, and the
+// slots are in use under overload.
 func TestGeneratedDeployments(t *testing.T) {
 	for seed := uint64(1); seed <= 8; seed++ {
 		for _, load := range []float64{0.3, 1.5} {
