ingress: measure the idle time of a connection from the end of the response

Cause: the idle timeout started when the previous request had been read, so that a connection whose response took a while was closed before the caller had been idle for the timeout, also while its next request was on its way. A read whose deadline had passed also dropped bytes that had already arrived.

Change: the timeout starts with the end of the last response and not while a request is in flight, and what has arrived is read before the connection is closed. TestIdleTimeStartsWithTheEndOfTheResponse fails before.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -164,6 +164,8 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	inFlight     atomic.Int64
+	lastResponse atomic.Int64 // nanoseconds from openedAt to the end of the last response; 0 before it
+	openedAt     time.Time
 	// responseQueue holds the in-flight requests in the order in which they were read,
 	// which is the order of their responses.
 	responseQueue chan *pendingRequest
@@ -180,7 +182,7 @@
 
 func newConn(s *Server, socket net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{server: s, socket: socket, ctx: ctx, cancel: cancel, responseQueue: make(chan *pendingRequest, pipelineDepth)}
+	c := &conn{server: s, socket: socket, ctx: ctx, cancel: cancel, openedAt: time.Now(), responseQueue: make(chan *pendingRequest, pipelineDepth)}
 	c.socketReader = &socketReader{conn: c}
 	c.reader = bufio.NewReaderSize(c.socketReader, readBufferBytes)
 	return c
@@ -248,10 +250,12 @@
 // may be read from the connection.
 func (c *conn) readRequest() bool {
 	limits := c.server.Limits()
-	c.setReadDeadline(limits.IdleTimeout)
 	c.socketReader.limitHead = false
-	if _, err := c.reader.Peek(1); err != nil {
-		return c.handleIdleReadError(err)
+	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
+		if !isTimeout(err) {
+			c.cancel() // the connection has ended
+		}
+		return false
 	}
 	arrived := c.socketReader.lastRead
 	c.setReadDeadline(limits.HeaderTimeout)
@@ -304,16 +308,38 @@
 	_ = c.socket.SetReadDeadline(deadline)
 }
 
-// handleIdleReadError handles a failed read between two requests. It reports whether to keep
-// reading, which is the case after an idle timeout while requests are in flight. An error
-// other than a timeout means that the connection has ended, and cancels its requests.
-func (c *conn) handleIdleReadError(err error) bool {
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return c.inFlight.Load() > 0
+// arrivedBytesTimeout bounds the last read before an idle connection is closed, which takes
+// what has already arrived. A read whose deadline has passed fails even if bytes are there.
+const arrivedBytesTimeout = time.Millisecond
+
+// awaitRequest waits until the first byte of a request has arrived. It returns a timeout error if
+// the connection has been idle for idleTimeout, which starts with the end of the last
+// response and not while a request is in flight.
+func (c *conn) awaitRequest(idleTimeout time.Duration) error {
+	c.setReadDeadline(idleTimeout)
+	for {
+		_, err := c.reader.Peek(1)
+		if err == nil || !isTimeout(err) {
+			return err
+		}
+		remaining := idleTimeout - time.Since(c.openedAt) + time.Duration(c.lastResponse.Load())
+		switch {
+		case c.inFlight.Load() > 0:
+			c.setReadDeadline(idleTimeout)
+		case remaining > 0:
+			c.setReadDeadline(remaining)
+		default:
+			c.setReadDeadline(arrivedBytesTimeout)
+			_, err := c.reader.Peek(1)
+			return err
+		}
 	}
-	c.cancel()
-	return false
+}
+
+// isTimeout reports whether a read failed because its deadline passed.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // rejectHead sends an error response to a request whose head cannot be read or parsed. If the
@@ -328,9 +354,8 @@
 		c.cancel()
 		return false
 	default:
-		var timeout interface{ Timeout() bool }
 		var netErr net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
+		if isTimeout(err) {
 			status = http.StatusRequestTimeout
 		} else if errors.As(err, &netErr) {
 			c.cancel()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -131,3 +133,36 @@
 	callersDone.Wait()
 	must.Eq(t, handled.Load(), answered.Load())
 }
+
+// A caller may reuse a connection until it has been idle for the idle timeout. The time in which
+// the previous request was handled does not count: the caller does not know when its request
+// was read.
+func TestIdleTimeStartsWithTheEndOfTheResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const idleTimeout = 5 * time.Second
+		server := &Server{
+			Handler: func(context.Context, *Request) *Response {
+				time.Sleep(3 * time.Second)
+				return &Response{Status: http.StatusOK}
+			},
+			Limits: func() Limits { return Limits{IdleTimeout: idleTimeout} },
+			Log:    slog.New(slog.DiscardHandler),
+		}
+		caller, socket := net.Pipe()
+		go newConn(server, socket).serve()
+		reader := bufio.NewReader(caller)
+		for range 3 {
+			_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			must.NoError(t, err)
+			response, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			must.NoError(t, response.Body.Close())
+			time.Sleep(idleTimeout * 4 / 5)
+		}
+		// After the timeout, the connection is closed.
+		time.Sleep(idleTimeout)
+		_, err := reader.ReadByte()
+		must.ErrorIs(t, err, io.EOF)
+		caller.Close()
+	})
+}
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -19,7 +19,9 @@
 	open := true
 	for p := range c.responseQueue {
 		response := <-p.response
-		if open && !c.writeResponse(p, response) {
+		written := open && c.writeResponse(p, response)
+		c.lastResponse.Store(int64(time.Since(c.openedAt)))
+		if open && !written {
 			open = false
 			c.closeGracefully()
 		}
