dispatch: readmit servers slowly after an evacuation

Cause: servers of an evacuated zone may become cold without telling. When the evacuation ends, all instances send their waiting requests there at once, and the first response that could say so takes a second or two.

Change: servers count as cold for 2 s after an evacuation.

Ruled out: cold servers that are listed as such, which are paced already.

--- a/dispatch/coldstart.go
+++ b/dispatch/coldstart.go
@@ -27,6 +27,11 @@
 // coldServerFactor is how many times longer a cold server is assumed to take for a request.
 const coldServerFactor = 2.0
 
+// readmissionPacing is how long a server counts as cold after the end of an evacuation. It may
+// have become cold in the meantime, which its responses tell; a service time of a second or
+// two passes before the first one.
+const readmissionPacing = 2 * time.Second
+
 // awaitsColdStart reports whether a server is cold and must not get a request of this
 // instance yet.
 func (d *Dispatcher) awaitsColdStart(s *Server, now time.Time) bool {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -390,3 +390,27 @@
 func testServer(id, zone string) routes.Server {
 	return routes.Server{ID: id, Address: id + ":80", Service: "books", Zone: zone, Slots: 4, Ready: true, Incarnation: 1}
 }
+
+// When an evacuation ends, the servers may be cold without having said so. The instances must not
+// all send their waiting requests to them at once.
+func TestServersAreReadmittedSlowlyAfterAnEvacuation(t *testing.T) {
+	const members, rate = 7, 4.2
+	sent := 0
+	for n := range members {
+		dispatcher, servers := newTestDispatcher(t, 4, "a", "c")
+		dispatcher.rng = rand.New(rand.NewPCG(uint64(n), 3))
+		dispatcher.SetMembers(members)
+		dispatcher.SetServices(map[string]*routes.Service{"books": {Name: "books", WarmupRate: rate}})
+		dispatcher.SetServers(servers, map[string]bool{"a": true}, start)
+		dispatcher.SetServers(servers, nil, start)
+		for ms := 0; ms < 1000; ms += 10 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if d, w := dispatcher.Submit(newRequest(uint64(ms+1), now), now); d.Verdict == VerdictStart && d.Server.ID == "s0" {
+				sent++
+			} else if w != nil {
+				dispatcher.RemoveWaiter(w)
+			}
+		}
+	}
+	must.LessEq(t, rate*1.5+5, float64(sent)) // the bound of the deployments
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -115,6 +115,9 @@
 		}
 		s.Region = d.locality.RegionByZone[l.Zone]
 		s.update(l, now)
+		if s.Evacuated && !evacuated[l.Zone] {
+			s.markCold(readmissionPacing, now)
+		}
 		s.Evacuated = evacuated[l.Zone]
 	}
 	for id, s := range d.servers {
