gateway: log what the retry budget decided and from what

Request lines say how many attempts were made, but not what the budget allowed or refused at that time, so that the causes considered for the retries beyond the budget could not be told apart. Each service that needs retries now has a line every 250 ms, and the metric jacinthrack_retries_total counts the decisions. Nothing is decided differently.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -19,6 +19,23 @@
 	requests, retries [maxRetryWindowSeconds]int
 	newestSecond      int64
 	epoch             time.Time // start of second 0; a monotonic clock reading
+	// granted and denied count the retries since the last call of TakeRetryDecisions.
+	granted, denied int
+}
+
+// RetryUsage is how much of its part of a service's retry budget an instance has used in the
+// window.
+type RetryUsage struct {
+	Requests int     // new requests
+	Retries  int     // retries taken
+	Allowed  float64 // retries that may be taken
+}
+
+// RetryDecisions counts an instance's decisions on retries of a service.
+type RetryDecisions struct {
+	Service         string
+	Granted, Denied int
+	Usage           RetryUsage
 }
 
 // maxRetryWindowSeconds is the size of the ring in seconds. RetryBudgetPolicy.Window must be
@@ -53,18 +70,41 @@
 // slack, and retries in proportion to its own requests.
 func (d *Dispatcher) TakeRetry(service string, policy RetryBudgetPolicy, now time.Time) bool {
 	b := &d.pool(service).retryBudget
-	i := b.advance(now)
-	requests, retries := 0, 0
+	usage := d.retryUsage(b, policy, now)
+	if float64(usage.Retries+1) > usage.Allowed {
+		b.denied++
+		return false
+	}
+	b.retries[b.advance(now)]++
+	b.granted++
+	return true
+}
+
+// retryUsage sums up the window that ends now.
+func (d *Dispatcher) retryUsage(b *RetryBudget, policy RetryBudgetPolicy, now time.Time) RetryUsage {
+	b.advance(now)
+	var usage RetryUsage
 	for back := range int64(policy.Window/time.Second) + 1 {
 		// Adding the ring size keeps the index from being negative before the first full ring.
-		j := ((b.newestSecond-back)%maxRetryWindowSeconds + maxRetryWindowSeconds) % maxRetryWindowSeconds
-		requests += b.requests[j]
-		retries += b.retries[j]
+		i := ((b.newestSecond-back)%maxRetryWindowSeconds + maxRetryWindowSeconds) % maxRetryWindowSeconds
+		usage.Requests += b.requests[i]
+		usage.Retries += b.retries[i]
 	}
-	allowed := retryBudgetFraction * (policy.Ratio*float64(requests) + policy.Slack/float64(d.members))
-	if float64(retries+1) > allowed {
-		return false
+	usage.Allowed = retryBudgetFraction * (policy.Ratio*float64(usage.Requests) + policy.Slack/float64(d.members))
+	return usage
+}
+
+// TakeRetryDecisions returns the decisions since the last call of each service that had any,
+// in no particular order, and resets their counts.
+func (d *Dispatcher) TakeRetryDecisions(policy RetryBudgetPolicy, now time.Time) []RetryDecisions {
+	var all []RetryDecisions
+	for service, pool := range d.services {
+		b := &pool.retryBudget
+		if b.granted+b.denied == 0 {
+			continue
+		}
+		all = append(all, RetryDecisions{Service: service, Granted: b.granted, Denied: b.denied, Usage: d.retryUsage(b, policy, now)})
+		b.granted, b.denied = 0, 0
 	}
-	b.retries[i]++
-	return true
+	return all
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 	suspects          *quarantine.Tracker
 	borrower          *quotaBorrower
 	requestLogLimiter *rate.Limiter // limits log lines about requests
+	startedAt         time.Time
 
 	config            atomic.Pointer[routes.Config]
 	rejecting         atomic.Bool  // reject new requests, shortly before the process ends
@@ -138,6 +139,7 @@
 		waiterChannels:    make(map[*dispatch.Waiter]chan reservedServer),
 		stop:              make(chan struct{}),
 		requestLogLimiter: rate.NewLimiter(maxRequestLogsPerSecond, maxRequestLogsPerSecond),
+		startedAt:         time.Now(),
 	}
 	g.dispatcher = dispatch.NewDispatcher(o.Locality, rand.New(rand.NewPCG(o.Seed, 2)))
 	g.dispatcher.SetMembers(assumedMemberCount)
@@ -159,14 +161,23 @@
 // requests. A search also takes place whenever an attempt ends.
 const waiterScanInterval = 20 * time.Millisecond
 
-// Run starts waiting requests when capacity becomes free, until Stop is called.
+// retryLogInterval is the time between log lines about the retries of a service. It is short, so that
+// the lines of a process that is killed soon after its start are not lost.
+const retryLogInterval = 250 * time.Millisecond
+
+// Run starts waiting requests when capacity becomes free, and logs decisions on retries, until
+// Stop is called.
 func (g *Gateway) Run() {
 	ticker := time.NewTicker(waiterScanInterval)
 	defer ticker.Stop()
+	retryLogTicker := time.NewTicker(retryLogInterval)
+	defer retryLogTicker.Stop()
 	for {
 		select {
 		case <-g.stop:
 			return
+		case <-retryLogTicker.C:
+			g.logRetryDecisions()
 		case <-ticker.C:
 			g.mu.Lock()
 			if len(g.waiterChannels) > 0 {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,12 +1,18 @@
 package gateway
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"math"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // metrics holds the Prometheus metrics of the data path.
 type metrics struct {
 	requests    *prometheus.CounterVec   // by outcome
 	attempts    *prometheus.CounterVec   // by outcome
 	duration    *prometheus.HistogramVec // by outcome
+	retries     *prometheus.CounterVec   // by decision
 	connections prometheus.Counter
 	unlogged    prometheus.Counter // requests without a log line, above maxRequestLogsPerSecond
 }
@@ -23,6 +29,9 @@
 			Name: "jacinthrack_request_seconds", Help: "Time from the arrival of a request to its response.",
 			Buckets: []float64{0.01, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.2, 2, 4, 8},
 		}, []string{"outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "jacinthrack_retries_total", Help: "Retries that the retry budget granted or denied.",
+		}, []string{"decision"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "jacinthrack_server_connections_total", Help: "Connections opened to backend servers.",
 		}),
@@ -31,7 +40,23 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.attempts, m.duration, m.connections, m.unlogged)
+		r.MustRegister(m.requests, m.attempts, m.duration, m.retries, m.connections, m.unlogged)
 	}
 	return m
 }
+
+// logRetryDecisions writes a log line for each service whose requests needed retries since the
+// last call, with the state of the retry budget.
+func (g *Gateway) logRetryDecisions() {
+	g.mu.Lock()
+	decisions := g.dispatcher.TakeRetryDecisions(g.policy.RetryBudget, time.Now())
+	members := g.memberCount
+	g.mu.Unlock()
+	for _, d := range decisions {
+		g.metrics.retries.WithLabelValues("granted").Add(float64(d.Granted))
+		g.metrics.retries.WithLabelValues("denied").Add(float64(d.Denied))
+		g.log.Info("decided on retries", "service", d.Service, "granted", d.Granted, "denied", d.Denied,
+			"window_requests", d.Usage.Requests, "window_retries", d.Usage.Retries, "window_allowed", math.Round(d.Usage.Allowed*10)/10,
+			"instances", members, "uptime_ms", time.Since(g.startedAt).Milliseconds())
+	}
+}
