dispatch: use the slack of a retry budget only after the first window

Callers saw up to twice the load of retries at servers that were already rejecting: rope-register got 815 to 854 retries in 10 s where 751 to 824 are allowed, when all instances were killed every second or two.

Cause: an instance keeps its part of a fleet-wide allowance in memory, and a new process starts with all of it. Each restart granted the slack anew; the processes younger than 10 s took about 450 of 710 retries in the window (log line 'decided on retries'). The part in proportion to requests does not have this fault, since a new process has no requests either.

Now the slack is available only once the process has counted requests for a whole window: whatever the process before it took has then left the window. Services with few requests are retried less in the first 10 s after a start.

Ruled out: parts of the slack that add up to more than one (each process divided by 7), retries that wait and arrive together (576 to 604 in the window without restarts), uncounted retries (1,250 by the request lines, 1,249 at the servers).

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -18,7 +18,7 @@
 type RetryBudget struct {
 	requests, retries [maxRetryWindowSeconds]int
 	newestSecond      int64
-	epoch             time.Time // start of second 0; a monotonic clock reading
+	epoch             time.Time // first request of this process and start of second 0; a monotonic clock reading
 	// granted and denied count the retries since the last call of TakeRetryDecisions.
 	granted, denied int
 }
@@ -67,7 +67,8 @@
 
 // TakeRetry takes one retry from the retry budget of a service. It returns false, and
 // takes none, if the budget is used up. Each instance may use an equal part of the
-// slack, and retries in proportion to its own requests.
+// slack, and retries in proportion to its own requests. The part of the slack is not available
+// in the first window, since a process that ran at this instance before may have used it.
 func (d *Dispatcher) TakeRetry(service string, policy RetryBudgetPolicy, now time.Time) bool {
 	b := &d.pool(service).retryBudget
 	usage := d.retryUsage(b, policy, now)
@@ -90,7 +91,11 @@
 		usage.Requests += b.requests[i]
 		usage.Retries += b.retries[i]
 	}
-	usage.Allowed = retryBudgetFraction * (policy.Ratio*float64(usage.Requests) + policy.Slack/float64(d.members))
+	slack := 0.0
+	if now.Sub(b.epoch) > policy.Window {
+		slack = policy.Slack / float64(d.members)
+	}
+	usage.Allowed = retryBudgetFraction * (policy.Ratio*float64(usage.Requests) + slack)
 	return usage
 }
 
--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -53,3 +53,18 @@
 		}
 	}
 }
+
+// An instance that keeps running must be able to use its part of the slack, so that services with
+// few requests are retried.
+func TestRetrySlackIsAvailableAfterTheFirstWindow(t *testing.T) {
+	policy := RetryBudgetPolicy{Ratio: 0.2, Window: 10 * time.Second, Slack: 60}
+	dispatcher, _ := newTestDispatcher(t, 4, "a")
+	dispatcher.SetMembers(6)
+	dispatcher.CountRequest("books", start)
+	must.False(t, dispatcher.TakeRetry("books", policy, start.Add(policy.Window)))
+	retries := 0
+	for dispatcher.TakeRetry("books", policy, start.Add(policy.Window+time.Second)) {
+		retries++
+	}
+	must.Eq(t, 7, retries) // 0.7 of a sixth of 60
+}
