dispatch: use the slack of retry budgets at once when the fleet first starts

Where the whole system starts for the first time no earlier process can have taken retries, and the settings say so (bootstrap). There the slack is available at once; after restarts it still is not.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -67,8 +67,9 @@
 
 // TakeRetry takes one retry from the retry budget of a service. It returns false, and
 // takes none, if the budget is used up. Each instance may use an equal part of the
-// slack, and retries in proportion to its own requests. The part of the slack is not available
-// in the first window, since a process that ran at this instance before may have used it.
+// slack, and retries in proportion to its own requests. Unless SetBootstrap was called, the part
+// of the slack is not available in the first window, since a process that ran at this instance
+// before may have used it.
 func (d *Dispatcher) TakeRetry(service string, policy RetryBudgetPolicy, now time.Time) bool {
 	b := &d.pool(service).retryBudget
 	usage := d.retryUsage(b, policy, now)
@@ -92,7 +93,7 @@
 		usage.Retries += b.retries[i]
 	}
 	slack := 0.0
-	if now.Sub(b.epoch) > policy.Window {
+	if d.bootstrap || now.Sub(b.epoch) > policy.Window {
 		slack = policy.Slack / float64(d.members)
 	}
 	usage.Allowed = retryBudgetFraction * (policy.Ratio*float64(usage.Requests) + slack)
--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -67,4 +67,9 @@
 		retries++
 	}
 	must.Eq(t, 7, retries) // 0.7 of a sixth of 60
+
+	first, _ := newTestDispatcher(t, 4, "a")
+	first.SetBootstrap()
+	first.CountRequest("books", start)
+	must.True(t, first.TakeRetry("books", policy, start))
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -40,6 +40,7 @@
 	services          map[string]*servicePool
 	routeServiceTimes map[string]time.Duration // mean service time by route name
 	members           int                      // instances that share the servers
+	bootstrap         bool                     // no earlier process ran at this instance
 	rng               *rand.Rand
 	regionShift       regionShiftLimiter
 	openByRegion      map[string]bool // result of openRegions, reused by its next call
@@ -80,6 +81,10 @@
 // from one window of two seconds to the next. 0 means no bound.
 func (d *Dispatcher) SetMaxRegionShift(maxShift float64) { d.regionShift.maxShift = maxShift }
 
+// SetBootstrap says that no earlier process ran at this instance, so that it may use its whole part
+// of each retry budget from the start.
+func (d *Dispatcher) SetBootstrap() { d.bootstrap = true }
+
 // SetMembers sets the number of instances that share the servers, at least 1.
 func (d *Dispatcher) SetMembers(n int) { d.members = max(n, 1) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,8 @@
 	Log      *slog.Logger
 	Registry prometheus.Registerer
 	Seed     uint64
+	// Bootstrap is set when the whole system starts for the first time.
+	Bootstrap bool
 	// InitialBurstFraction is the fraction of its burst that a customer may use right after the
 	// start, from 0 to 1. With 1 it may use its slack, too.
 	InitialBurstFraction float64
@@ -143,6 +145,9 @@
 	}
 	g.dispatcher = dispatch.NewDispatcher(o.Locality, rand.New(rand.NewPCG(o.Seed, 2)))
 	g.dispatcher.SetMembers(assumedMemberCount)
+	if o.Bootstrap {
+		g.dispatcher.SetBootstrap()
+	}
 	g.dispatcher.SetMaxRegionShift(o.Policy.MaxRegionShift)
 	g.borrower = &quotaBorrower{gateway: g, byCustomer: make(map[string]*customerBorrowing)}
 	g.upstream = upstream.New(o.Dialect.RequestIDHeader(), g.metrics.connections.Inc)
