gateway: record and log the rate limits that servers name

A response may name the rate of requests that its server takes from all instances together. It was not read, so that nothing showed which servers had limited themselves, to what and since when. It is parsed, kept with the server and logged when it begins and ends. No request is placed differently.

--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -23,6 +23,7 @@
 	Duration   time.Duration // from the start of the attempt to its end
 	Load       *LoadReport   // load reported by the server, or nil
 	WarmupLeft time.Duration // remaining warm-up time reported by the server, or 0
+	Rate       *RateReport   // rate reported by the server; nil without a response or if it is malformed
 }
 
 // Finish records the end of an attempt that was started on a server, and updates the
@@ -36,6 +37,9 @@
 	if result.WarmupLeft > 0 && result.Outcome != OutcomeMisdirected {
 		s.markCold(result.WarmupLeft, now)
 	}
+	if result.Rate != nil && result.Outcome != OutcomeMisdirected {
+		s.applyRateReport(*result.Rate, now.Add(-result.Duration), now)
+	}
 	failed := 0.0
 	switch result.Outcome {
 	case OutcomeSucceeded:
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -66,6 +66,7 @@
 	coldSince           time.Time            // start of the current or last warm-up
 	coldUntil           time.Time            // its end
 	nextColdRequest     time.Time            // time of this instance's next request to the cold server
+	rateLimit           rateLimit            // set by the server in its responses
 	recentObjects       map[uint64]time.Time // last time at which the server handled an object, by its hash
 	failureRate         float64              // recent share of attempts that were rejected, failed or got no complete response in time
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,7 +71,11 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	_, wasLimited := server.server.RateLimit()
 	g.dispatcher.Finish(request, server.server, attemptResult, now)
+	if perSecond, limited := server.server.RateLimit(); limited != wasLimited {
+		g.log.Info("server began or ended to limit its rate of requests", "server", server.id, "service", server.service, "limited", limited, "per_second", perSecond, "instances", g.memberCount)
+	}
 	g.startWaiters(server.service, now)
 }
 
@@ -118,7 +122,7 @@
 // request and for the dispatcher.
 func (g *Gateway) handleServerResponse(state *requestState, serverResponse *upstream.Response, attemptResult dispatch.AttemptResult) (sendResult, dispatch.AttemptResult) {
 	info := g.dialect.ParseResponse(serverResponse.Status, serverResponse.Header)
-	attemptResult.Load, attemptResult.WarmupLeft = info.Load, info.WarmupLeft
+	attemptResult.Load, attemptResult.WarmupLeft, attemptResult.Rate = info.Load, info.WarmupLeft, info.Rate
 	switch {
 	case info.Misdirected:
 		attemptResult.Outcome = dispatch.OutcomeMisdirected
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	Misdirected bool                 // a server other than the intended one answered
 	Load        *dispatch.LoadReport // nil if not reported
 	WarmupLeft  time.Duration        // time until the server has warmed up, 0 if not reported
+	Rate        *dispatch.RateReport // rate that the server takes; nil if it is malformed
 }
 
 // Policy holds the limits that a deployment sets for the data path.
