dispatch: divide the limits of servers by reported demand

Cause: the shares added up to more than one. An instance compared its own demand right after a request, when it is above its mean, with what the others had reported; instances that had not learned of the limit yet counted as having no demand; and in fleets where a digest reaches one other instance a round, the few known ones stood for all. Tokens that had been scheduled with a larger share were kept when the share shrank.

Now an instance uses the demand that it reports, updated once a second. Instances whose demand is not known count with its own demand or the mean of the known, whichever is more. Tokens accrue with the share of the moment. Digests carry the limit, too, so that instances without a response of their own keep it for 3 s.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -45,7 +45,7 @@
 	if pool == nil {
 		return nil
 	}
-	if pool.limitsRates() {
+	if pool.limitsRates(now) {
 		best := d.lowestCost(r, pool, now, func(s *Server) bool { return accept(s) && !d.awaitsRateToken(s, now) })
 		if best != nil {
 			return best
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -134,7 +134,7 @@
 	slots, mean := 0.0, pool.meanServiceTime()
 	for _, s := range pool.servers {
 		if s.usable(now) {
-			slots += s.effectiveSlots(mean)
+			slots += s.effectiveSlots(mean, now)
 		}
 	}
 	return int(lateWaitersPerSlot * slots / float64(d.members))
--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -74,8 +74,8 @@
 	}
 	var result limitedServerResult
 	for at := time.Duration(0); at < rateLimitRun; at += step {
-		if at%time.Second == 0 && run.members <= 9 {
-			exchangeRateDemands(instances, start.Add(at))
+		if at%time.Second == 0 {
+			exchangeRateDemands(instances, int(at/time.Second), start.Add(at))
 		}
 		for _, instance := range instances {
 			run.advance(instance, at, &result)
@@ -84,14 +84,17 @@
 	return result
 }
 
-// exchangeRateDemands passes the demand of each instance to all others.
-func exchangeRateDemands(instances []*limitedServerInstance, now time.Time) {
+// exchangeRateDemands passes the demand of each instance to all others or, in a large fleet, to one
+// that changes with each round.
+func exchangeRateDemands(instances []*limitedServerInstance, round int, now time.Time) {
 	for i, from := range instances {
 		demands := from.dispatcher.RateDemands(32, now)
-		for _, to := range instances {
-			if to != from {
-				to.dispatcher.MergeRateDemands(fmt.Sprint(i), demands, now)
+		for distance := 1; distance < len(instances); distance++ {
+			if len(instances) > 9 && distance != 1+round%(len(instances)-1) {
+				continue
 			}
+			to := instances[(i+distance)%len(instances)]
+			to.dispatcher.MergeRateDemands(fmt.Sprint(i), demands, 0, now)
 		}
 	}
 }
@@ -167,6 +170,8 @@
 		"low limit":               {members: 7, otherServers: 2, requestsPerSecond: 10, limit: 0.4},
 		"takes nothing":           {members: 7, otherServers: 2, requestsPerSecond: 10, limit: 0},
 		"high limit":              {members: 3, otherServers: 2, requestsPerSecond: 30, limit: 40},
+		"small rate per instance": {members: 9, otherServers: 3, requestsPerSecond: 3, limit: 1.5},
+		"few known instances":     {members: 13, activeMembers: 7, otherServers: 1, requestsPerSecond: 15, limit: 6},
 		"two instances":           {members: 7, activeMembers: 2, otherServers: 0, requestsPerSecond: 20, limit: 9},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -232,7 +237,7 @@
 			second, _ := begin()
 			dispatcher.Finish(first, server, AttemptResult{Outcome: OutcomeSucceeded, Duration: time.Second, Rate: limit}, start.Add(time.Second))
 			dispatcher.Finish(second, server, c.last, start.Add(3*time.Second))
-			_, limited := server.RateLimit()
+			_, limited := server.RateLimit(start.Add(3 * time.Second))
 			must.Eq(t, c.limited, limited)
 		})
 	}
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -67,6 +67,7 @@
 	coldUntil           time.Time            // its end
 	nextColdRequest     time.Time            // time of this instance's next request to the cold server
 	rateLimit           rateLimit            // set by the server in its responses
+	unlimitedAt         time.Time            // time of the response that ended the last rate limit
 	recentObjects       map[uint64]time.Time // last time at which the server handled an object, by its hash
 	failureRate         float64              // recent share of attempts that were rejected, failed or got no complete response in time
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"math"
 	"sort"
 	"sync"
 	"time"
@@ -32,8 +31,6 @@
 	maxDigestSightings = 64
 	// maxDigestDemands is the maximum number of servers in a digest that limit their rate.
 	maxDigestDemands = 32
-	// demandUnits is the number of units per request per second in digests.
-	demandUnits = 1000
 	// maxDigestSuspects is the maximum number of suspect requests in a digest.
 	maxDigestSuspects = 32
 )
@@ -65,10 +62,11 @@
 	Lend(customer string, tokens float64) (lent, remaining float64)
 	// Ready reports whether the instance accepts requests.
 	Ready() bool
-	// RateDemands returns this instance's demand for up to limit servers that limit their rate.
-	RateDemands(limit int) []dispatch.RateDemand
-	// MergeRateDemands takes the demand of another instance, given by its caller address.
-	MergeRateDemands(instance string, demands []dispatch.RateDemand)
+	// RateDemands returns this instance's demand for up to count servers that limit their rate.
+	RateDemands(count int) []dispatch.RateDemand
+	// MergeRateDemands takes the demand of another instance, given by its caller address. delay
+	// is an upper bound of the time since that instance sent it.
+	MergeRateDemands(instance string, demands []dispatch.RateDemand, delay time.Duration)
 	// Suspects returns up to limit suspect requests.
 	Suspects(limit int) []quarantine.SuspectReport
 	// MergeSuspects merges the suspect requests of another instance. delay is an upper
@@ -239,7 +237,7 @@
 		})
 	}
 	for _, demand := range v.dataPath.RateDemands(maxDigestDemands) {
-		d.ServerDemands = append(d.ServerDemands, &peerpb.ServerDemand{ServerHash: demand.ServerHash, DemandMilli: uint32(min(demand.PerSecond*demandUnits, math.MaxUint32))})
+		d.ServerDemands = append(d.ServerDemands, encodeRateDemand(demand))
 	}
 	if to.IsReply && to.Zone == v.self.Zone {
 		d.Sightings = v.sightings(time.Now())
@@ -324,9 +322,9 @@
 	}
 	demands := make([]dispatch.RateDemand, 0, len(d.GetServerDemands()))
 	for _, demand := range d.GetServerDemands() {
-		demands = append(demands, dispatch.RateDemand{ServerHash: demand.GetServerHash(), PerSecond: float64(demand.GetDemandMilli()) / demandUnits})
+		demands = append(demands, decodeRateDemand(demand))
 	}
-	v.dataPath.MergeRateDemands(d.GetSender().GetCallerAddress(), demands)
+	v.dataPath.MergeRateDemands(d.GetSender().GetCallerAddress(), demands, delay)
 }
 
 // recordSighting records that an instance was seen the given time ago, unless there is more recent
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -57,10 +57,10 @@
 func (f *fakeDataPath) Lend(_ string, tokens float64) (float64, float64) {
 	return min(tokens, 0.25), 0.5
 }
-func (f *fakeDataPath) RateDemands(limit int) []dispatch.RateDemand {
-	return f.demands[:min(limit, len(f.demands))]
+func (f *fakeDataPath) RateDemands(count int) []dispatch.RateDemand {
+	return f.demands[:min(count, len(f.demands))]
 }
-func (f *fakeDataPath) MergeRateDemands(instance string, demands []dispatch.RateDemand) {
+func (f *fakeDataPath) MergeRateDemands(instance string, demands []dispatch.RateDemand, _ time.Duration) {
 	f.mergedDemands = append(f.mergedDemands, mergedDemand{instance, demands})
 }
 func (f *fakeDataPath) Suspects(int) []quarantine.SuspectReport                 { return nil }
@@ -168,11 +168,22 @@
 // The demand for servers that limit their rate must reach the other instance, also when it is
 // none, since the rate is divided by the demand of all.
 func TestDigestCarriesRateDemands(t *testing.T) {
-	demands := []dispatch.RateDemand{{ServerHash: 7, PerSecond: 2.5}, {ServerHash: 1 << 63, PerSecond: 0.001}}
+	limit, none := 6.5, 0.0
+	demands := []dispatch.RateDemand{
+		{ServerHash: 7, PerSecond: 2.5, Limit: &limit, LimitAge: 300 * time.Millisecond},
+		{ServerHash: 8, Limit: &none, LimitAge: time.Millisecond},
+		{ServerHash: 1 << 63, PerSecond: 0.001},
+	}
 	sender, receiver := &fakeDataPath{demands: demands}, &fakeDataPath{}
 	from := New(Instance{Name: "n1", Zone: "z2", PeerAddress: "p1", CallerAddress: "c1"}, sender, testMaxConfigAge)
 	to := newTestView(receiver)
 	to.MergeRequest(from.Digest(peer.Recipient{Name: "n0", Zone: "z1"}))
+	for i := range receiver.mergedDemands[0].Demands {
+		if received := &receiver.mergedDemands[0].Demands[i]; received.Limit != nil {
+			must.Between(t, demands[i].LimitAge, received.LimitAge, demands[i].LimitAge+time.Millisecond)
+			received.LimitAge = demands[i].LimitAge
+		}
+	}
 	sender.demands = nil
 	to.MergeRequest(from.Digest(peer.Recipient{Name: "n0", Zone: "z1"}))
 	must.Eq(t, []mergedDemand{{"c1", demands}, {"c1", []dispatch.RateDemand{}}}, receiver.mergedDemands)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,9 +71,9 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, wasLimited := server.server.RateLimit()
+	_, wasLimited := server.server.RateLimit(now)
 	g.dispatcher.Finish(request, server.server, attemptResult, now)
-	if perSecond, limited := server.server.RateLimit(); limited != wasLimited {
+	if perSecond, limited := server.server.RateLimit(now); limited != wasLimited {
 		g.log.Info("server began or ended to limit its rate of requests", "server", server.id, "service", server.service, "limited", limited, "per_second", perSecond, "instances", g.memberCount)
 	}
 	g.startWaiters(server.service, now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -330,19 +330,20 @@
 	g.suspects.Import(reports, delay, time.Now())
 }
 
-// RateDemands returns this instance's demand for up to limit servers that limit their rate, those
+// RateDemands returns this instance's demand for up to count servers that limit their rate, those
 // with the most demand first.
-func (g *Gateway) RateDemands(limit int) []dispatch.RateDemand {
+func (g *Gateway) RateDemands(count int) []dispatch.RateDemand {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.dispatcher.RateDemands(limit, time.Now())
+	return g.dispatcher.RateDemands(count, time.Now())
 }
 
-// MergeRateDemands replaces the demand of another instance.
-func (g *Gateway) MergeRateDemands(instance string, demands []dispatch.RateDemand) {
+// MergeRateDemands replaces the demand of another instance. delay is an upper bound of the time
+// since that instance reported it.
+func (g *Gateway) MergeRateDemands(instance string, demands []dispatch.RateDemand, delay time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.dispatcher.MergeRateDemands(instance, demands, time.Now())
+	g.dispatcher.MergeRateDemands(instance, demands, delay, time.Now())
 }
 
 // RejectRequests makes the gateway reject all further requests, stating that they did not run.
