upstream: keep a connection only after a response that named its request

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that ran, or such a request ran at a second server. It could happen here: a copy that carries an ID is recognized, and so is one without an ID where the server had sent IDs before. But after a refusal without an ID on a new connection, a copy of it was taken as the response to the next request.

A connection is now reused only if its last response had a request ID, so that later bytes without one can always be told from a response. Servers that send no IDs get a new connection for each request.

TestRepeatedRefusalIsNotTakenForTheNextRequest failed before in two of five cases.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -157,7 +157,9 @@
 func (c *conn) deliver(x *exchange, response *Response) bool {
 	unframed := response.BodyLength < 0 && response.CloseAnnounced
 	c.mu.Lock()
-	reuse := !c.unusable && !response.CloseAnnounced && !unframed && response.RemainingBody == nil && c.reader.Buffered() == 0
+	// After a response without a request ID, a repeated copy of it could not be told from the
+	// response to the next request.
+	reuse := c.echoes && !c.unusable && !response.CloseAnnounced && !unframed && response.RemainingBody == nil && c.reader.Buffered() == 0
 	c.current = nil
 	c.unusable = c.unusable || !reuse
 	c.serverIdleTimeout = parseIdleTimeout(response.Header)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -241,29 +242,64 @@
 	}
 }
 
+// newClosingServer starts a server that reads one request, sends the bytes of the response and closes
+// the connection. It returns its address.
+func newClosingServer(t *testing.T, response string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() {
+		defer listener.Close()
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, response)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // Guards against a truncated response that is reported as complete, and against an error for
 // a response without a length, whose body ends with the connection.
 func TestTruncatedAndUnframedResponses(t *testing.T) {
-	serveAndClose := func(response string) string {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		must.NoError(t, err)
-		go func() {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, response)
-			}
-			conn.Close()
-			listener.Close()
-		}()
-		return listener.Addr().String()
-	}
-	_, _, err := send(t.Context(), New("X-Id", nil), serveAndClose("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf"), http.MethodGet, "1")
+	_, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf"), http.MethodGet, "1")
 	var truncated *TruncatedResponseError
 	must.True(t, errors.As(err, &truncated))
-	r, _, err := send(t.Context(), New("X-Id", nil), serveAndClose("HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it"), http.MethodGet, "1")
+	r, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it"), http.MethodGet, "1")
 	must.NoError(t, err)
 	must.True(t, strings.HasPrefix(string(r.Body), "all of it"))
 }
+
+// Guards against a repeated copy of an earlier refusal that is taken as the response to the next
+// request on the connection: that request runs, but its caller is told that it did not.
+func TestRepeatedRefusalIsNotTakenForTheNextRequest(t *testing.T) {
+	const refusalWithoutID = "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n"
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct{ first, second string }{
+		"with its ID":                      {refusal, refusal + responseText("2", "two")},
+		"with its ID, no further response": {refusal, refusal},
+		"without an ID":                    {refusalWithoutID, refusalWithoutID + responseText("2", "two")},
+		"without an ID, alone":             {refusalWithoutID, refusalWithoutID},
+		"copy has lost the ID":             {refusal, refusalWithoutID + responseText("2", "two")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, c.first, c.second)
+			var dials atomic.Int32
+			client := New("X-Id", func() { dials.Add(1) })
+			first, _, err := send(t.Context(), client, s.address, http.MethodPost, "1")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusServiceUnavailable, first.Status)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			second, sent, err := send(ctx, client, s.address, http.MethodPost, "2")
+			must.True(t, sent)
+			// The first response on a new connection is not a copy.
+			if err == nil && dials.Load() == 1 {
+				must.Eq(t, "two", string(second.Body))
+			}
+		})
+	}
+}
