upstream: test that a response cut anywhere is not taken as complete

Reported by other operators: a server stopped in the middle of its response's head, and callers got a 200 with an empty or short body. It cannot happen here: TestResponseCutAnywhereIsNotComplete cuts responses with a length, in chunks and with bare line feeds after each of their bytes, and passes without a change.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -303,3 +303,25 @@
 		})
 	}
 }
+
+// Guards against a response whose server stopped anywhere in its head or body and that is taken as
+// complete, with an empty or a short body.
+func TestResponseCutAnywhereIsNotComplete(t *testing.T) {
+	for name, response := range map[string]string{
+		"with a length":   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Type: text/plain\r\nContent-Length: 10\r\nX-More: a\r\n\r\n0123456789",
+		"chunked":         "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\nX-More: a\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n",
+		"length, LF only": "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 10\n\n0123456789",
+	} {
+		t.Run(name, func(t *testing.T) {
+			whole, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, response), http.MethodGet, "1")
+			must.NoError(t, err)
+			must.Eq(t, "0123456789", string(whole.Body))
+			for length := range len(response) {
+				cut, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, response[:length]), http.MethodGet, "1")
+				if err == nil {
+					t.Errorf("complete after %d of %d bytes: status %d, body %q", length, len(response), cut.Status, cut.Body)
+				}
+			}
+		})
+	}
+}
