--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -19,7 +19,7 @@
 	requests, retries [maxRetryWindowSeconds]int
 	newestSecond      int64
 	epoch             time.Time // first request of this process and start of second 0; a monotonic clock reading
-	// granted and denied count the retries since the last call of TakeRetryDecisions.
+	// granted and denied count the retries since the last call of CollectRetryDecisions.
 	granted, denied int
 }
 
@@ -100,9 +100,9 @@
 	return usage
 }
 
-// TakeRetryDecisions returns the decisions since the last call of each service that had any,
+// CollectRetryDecisions returns the decisions since the last call of each service that had any,
 // in no particular order, and resets their counts.
-func (d *Dispatcher) TakeRetryDecisions(policy RetryBudgetPolicy, now time.Time) []RetryDecisions {
+func (d *Dispatcher) CollectRetryDecisions(policy RetryBudgetPolicy, now time.Time) []RetryDecisions {
 	var all []RetryDecisions
 	for service, pool := range d.services {
 		b := &pool.retryBudget
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -306,7 +306,8 @@
 func (v *View) MergeRequest(d *peerpb.Digest) { v.mergeDigest(d, peer.ExchangeTimeout) }
 
 // mergeDigest merges what requests and replies have in common: the last-seen time of the sender,
-// the suspect requests and its demand for servers that limit their rate. delay is an upper bound of the time since the digest was sent.
+// the suspect requests and the demand for servers that limit their rate. delay is an upper bound of
+// the time since the digest was sent.
 func (v *View) mergeDigest(d *peerpb.Digest, delay time.Duration) {
 	configAge := time.Duration(d.GetPlatformAgeMs())*time.Millisecond + delay
 	v.recordSighting(d.GetSender(), delay, configAge < v.maxConfigAge)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,14 +71,25 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, wasLimited := server.server.RateLimit(now)
+	wasLimited := server.server.NamesRateLimit()
 	g.dispatcher.Finish(request, server.server, attemptResult, now)
-	if perSecond, limited := server.server.RateLimit(now); limited != wasLimited {
-		g.log.Info("server began or ended to limit its rate of requests", "server", server.id, "service", server.service, "limited", limited, "per_second", perSecond, "instances", g.memberCount)
+	if limited := server.server.NamesRateLimit(); limited != wasLimited {
+		g.logRateLimit(server, limited, now)
 	}
 	g.startWaiters(server.service, now)
 }
 
+// logRateLimit logs that a server has named a rate limit in a response, or no longer does. The lock
+// must be held.
+func (g *Gateway) logRateLimit(server reservedServer, limited bool, now time.Time) {
+	if !limited {
+		g.log.Info("server no longer limits its rate of requests", "server", server.id, "service", server.service)
+		return
+	}
+	perSecond, _ := server.server.RateLimit(now)
+	g.log.Info("server limits its rate of requests", "server", server.id, "service", server.service, "per_second", perSecond, "instances", g.memberCount)
+}
+
 // handleSendError records in the request's state whether a server may have run the request, and
 // returns the result and outcome of an attempt without a response. If the server broke the
 // connection and refuses new ones, it counts as crashed, and the requests in flight there
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,7 +49,7 @@
 // last call, with the state of the retry budget.
 func (g *Gateway) logRetryDecisions() {
 	g.mu.Lock()
-	decisions := g.dispatcher.TakeRetryDecisions(g.policy.RetryBudget, time.Now())
+	decisions := g.dispatcher.CollectRetryDecisions(g.policy.RetryBudget, time.Now())
 	members := g.memberCount
 	g.mu.Unlock()
 	for _, d := range decisions {
