review: case 1, requests behind a long answer that breaks off are never answered

An answer of more than 1 MiB is streamed; when its server breaks off, the connection is closed with the requests behind it, which sound servers run. The earlier cases move on by one; the connection that hangs is case 3.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec review/target/harness play upload review/2
+exec review/target/harness play endless review/2
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,8 +26,9 @@
 
 // cases are the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
-	"endless": playEndless,
-	"upload":  playUpload,
+	"endless":  playEndless,
+	"upload":   playUpload,
+	"breakoff": playBreakOff,
 }
 
 func main() {
