--- a/review/harness/upload.go
+++ b/review/harness/upload.go
@@ -13,9 +13,9 @@
 // Load of the case "upload".
 const (
 	uploadBytes          = 1100 << 10 // max_body_bytes of config.json is 64 MiB
-	uploadClients        = 12
+	uploadClients        = 20
 	uploadsPerConnection = 20
-	uploadPause          = 15 * time.Millisecond
+	uploadPause          = 5 * time.Millisecond
 	uploadPlay           = 25 * time.Second
 	// severalCores is the number of cores of a machine that exposes several.
 	severalCores = 2
