--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/target
-go build -o review/target/harness ./review/harness
+go build -buildvcs=false -o review/target/harness ./review/harness
