--- a/review/harness/breakoff.go
+++ b/review/harness/breakoff.go
@@ -15,8 +15,8 @@
 	breakOffShare       = "0.03"
 	longAnswerBytes     = 2 << 20
 	breakOffClients     = 16
-	pipelinedRequests   = 3
-	breakOffPlay        = 25 * time.Second
+	pipelinedRequests   = 4
+	breakOffPlay        = 45 * time.Second
 	maxClosedUnanswered = 3 // more break the rule
 )
 
