gateway: log how the rest of a long response ended

The line of a request is written when its handler returns.

The new line has the bytes, the time and the reason. No behaviour changes.

--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -69,6 +69,9 @@
 		state.reason = rejection.Detail
 	}
 	g.recordOutcome(ctx, state, response)
+	if response.RemainingBody != nil {
+		g.streamResponse(state, response)
+	}
 	return response
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,12 +9,13 @@
 
 // metrics holds the Prometheus metrics of the data path.
 type metrics struct {
-	requests    *prometheus.CounterVec   // by outcome
-	attempts    *prometheus.CounterVec   // by outcome
-	duration    *prometheus.HistogramVec // by outcome
-	retries     *prometheus.CounterVec   // by decision
-	connections prometheus.Counter
-	unlogged    prometheus.Counter // requests without a log line, above maxRequestLogsPerSecond
+	requests      *prometheus.CounterVec   // by outcome
+	attempts      *prometheus.CounterVec   // by outcome
+	duration      *prometheus.HistogramVec // by outcome
+	retries       *prometheus.CounterVec   // by decision
+	longResponses *prometheus.CounterVec   // by outcome
+	connections   prometheus.Counter
+	unlogged      prometheus.Counter // requests without a log line, above maxRequestLogsPerSecond
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -32,6 +33,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "jacinthrack_retries_total", Help: "Retries that the retry budget granted or denied.",
 		}, []string{"decision"}),
+		longResponses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "jacinthrack_long_responses_total", Help: "Responses too long to be buffered, by how they ended.",
+		}, []string{"outcome"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "jacinthrack_server_connections_total", Help: "Connections opened to backend servers.",
 		}),
@@ -40,7 +44,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.attempts, m.duration, m.retries, m.connections, m.unlogged)
+		r.MustRegister(m.requests, m.attempts, m.duration, m.retries, m.longResponses, m.connections, m.unlogged)
 	}
 	return m
 }
