gateway: end a long response at the deadline of its request

Cause: upstream watched the context of a request, and the gateway kept it, only until the first 1 MiB of the response was there. Nobody owned the rest. Ruled out: slow callers (they read as fast as the server sends) and the order of responses (half of the callers send one request at a time).

The context now lives until the response is written, and its end closes the connection to the server, also when the caller leaves. A long response that waits behind another one at its deadline becomes a 504, so that the requests behind it go on. The rest of a long response that says "not run" is closed at once. forward reads bodies within the context of the request and did not have the fault; it has a test now.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -270,6 +270,28 @@
 	}
 }
 
+// Guards against a response without an end that is passed on after the deadline of its request.
+func TestResponseWithoutEndIsEndedAtTheDeadline(t *testing.T) {
+	ended := make(chan struct{})
+	r := newTestInstance(t, func(w http.ResponseWriter, _ *http.Request) {
+		defer close(ended)
+		piece := make([]byte, StreamBufferBytes)
+		for {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	})
+	req := r.newRequest(t, "GET", "/r/check/x", "")
+	req.Header.Set(HeaderTimeout, "300")
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.Error(t, err)
+	<-ended
+}
+
 // Guards against request and response bodies that are truncated or changed when they are
 // longer than the buffer.
 func TestLongBodiesPassThrough(t *testing.T) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -134,6 +134,9 @@
 func (g *Gateway) handleServerResponse(state *requestState, serverResponse *upstream.Response, attemptResult dispatch.AttemptResult) (sendResult, dispatch.AttemptResult) {
 	info := g.dialect.ParseResponse(serverResponse.Status, serverResponse.Header)
 	attemptResult.Load, attemptResult.WarmupLeft, attemptResult.Rate = info.Load, info.WarmupLeft, info.Rate
+	if (info.Misdirected || info.NotRun) && serverResponse.RemainingBody != nil {
+		serverResponse.RemainingBody.Close() // nobody reads the rest
+	}
 	switch {
 	case info.Misdirected:
 		attemptResult.Outcome = dispatch.OutcomeMisdirected
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -69,9 +69,6 @@
 		state.reason = rejection.Detail
 	}
 	g.recordOutcome(ctx, state, response)
-	if response.RemainingBody != nil {
-		g.streamResponse(state, response)
-	}
 	return response
 }
 
@@ -82,7 +79,17 @@
 		return nil, rejection
 	}
 	ctx, cancel := context.WithDeadline(ctx, state.deadline)
-	defer cancel()
+	response, rejection := g.takeTokenAndForward(ctx, state)
+	if response != nil && response.RemainingBody != nil {
+		g.streamResponse(ctx, cancel, state, response)
+	} else {
+		cancel()
+	}
+	return response, rejection
+}
+
+// takeTokenAndForward runs an admitted request within its deadline, which is that of ctx.
+func (g *Gateway) takeTokenAndForward(ctx context.Context, state *requestState) (*ingress.Response, *problem.Document) {
 	if rejection := g.takeQuotaToken(ctx, state); rejection != nil {
 		return nil, rejection
 	}
@@ -328,8 +335,14 @@
 	case !state.mayHaveRun:
 		return g.rejectionProblem(state, dispatch.Decision{Verdict: dispatch.VerdictReject, Reason: result.reason, RetryAfter: notReadyRetryAfter})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, problem.MayHaveRun, "no response in time")
+		return responseTimeoutProblem()
 	default:
 		return problem.New(problem.TypeBackendFailed, http.StatusBadGateway, problem.MayHaveRun, "%s", result.reason)
 	}
 }
+
+// responseTimeoutProblem returns the problem document for a request whose server sent no complete
+// response before the deadline.
+func responseTimeoutProblem() *problem.Document {
+	return problem.New(problem.TypeDeadlineExceeded, http.StatusGatewayTimeout, problem.MayHaveRun, "no response in time")
+}
--- a/gateway/longresponse.go
+++ b/gateway/longresponse.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"time"
@@ -9,20 +11,31 @@
 )
 
 // longResponse reads the rest of a response that is too long to be buffered. It is read after
-// Handle has returned, and it logs how the response ended.
+// Handle has returned, until the deadline of the request. Its Close ends the request and logs how
+// the response ended.
 type longResponse struct {
 	io.ReadCloser
 	gateway *Gateway
+	ctx     context.Context // of the request
+	cancel  context.CancelFunc
 	state   *requestState
 	length  int64 // size of the whole body in bytes, -1 if unknown
 	bytes   int64 // read so far, including the buffered start
 	readErr error // that ended reading
 }
 
-// streamResponse makes response log how its streamed body ends.
-func (g *Gateway) streamResponse(state *requestState, response *ingress.Response) {
+// streamResponse makes the end of a streamed response the end of its request. ctx is the context
+// of the request.
+func (g *Gateway) streamResponse(ctx context.Context, cancel context.CancelFunc, state *requestState, response *ingress.Response) {
 	response.RemainingBody = &longResponse{
-		ReadCloser: response.RemainingBody, gateway: g, state: state, length: response.BodyLength, bytes: int64(len(response.Body)),
+		ReadCloser: response.RemainingBody, gateway: g, ctx: ctx, cancel: cancel, state: state,
+		length: response.BodyLength, bytes: int64(len(response.Body)),
+	}
+	response.Replacement = func() *ingress.Response {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return nil
+		}
+		return problemResponse(state, responseTimeoutProblem())
 	}
 }
 
@@ -39,6 +52,7 @@
 // Close implements io.Closer.
 func (l *longResponse) Close() error {
 	l.logEnd()
+	l.cancel()
 	return l.ReadCloser.Close()
 }
 
@@ -57,12 +71,18 @@
 
 // outcome returns the value of the label "outcome", and the reason if the response is incomplete.
 func (l *longResponse) outcome() (label, reason string) {
+	err := l.readErr
+	if err == nil {
+		err = l.ctx.Err() // the response ended without a failed read
+	}
 	switch {
 	case l.readErr == io.EOF, l.length >= 0 && l.bytes >= l.length:
 		return "ok", ""
-	case l.readErr == nil:
+	case errors.Is(err, context.DeadlineExceeded):
+		return "timeout", "the response did not end in time"
+	case err == nil, errors.Is(err, context.Canceled):
 		return "caller left", "the caller did not take the whole response"
 	default:
-		return "broken", l.readErr.Error()
+		return "broken", err.Error()
 	}
 }
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -19,7 +19,7 @@
 	open := true
 	for p := range c.responseQueue {
 		response := <-p.response
-		written := open && c.writeResponse(p, response)
+		written := open && c.writeResponse(p, replaceIfUnreadable(response))
 		c.lastResponse.Store(int64(time.Since(c.openedAt)))
 		if open && !written {
 			open = false
@@ -36,6 +36,16 @@
 	}
 }
 
+// replaceIfUnreadable returns the replacement of a response if it needs one, otherwise the response.
+func replaceIfUnreadable(r *Response) *Response {
+	if r.Replacement != nil {
+		if replacement := r.Replacement(); replacement != nil {
+			return replacement
+		}
+	}
+	return r
+}
+
 // closeGracefully closes the connection after its last response. It closes the sending side
 // at once and the socket after lingerTimeout. In between, discardUntilClosed reads what the
 // caller still sends: closing with unread bytes would reset the connection, and the caller
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -164,24 +164,35 @@
 	c.unusable = c.unusable || !reuse
 	c.serverIdleTimeout = parseIdleTimeout(response.Header)
 	c.mu.Unlock()
-	if response.RemainingBody != nil {
-		response.RemainingBody = &connClosingBody{ReadCloser: response.RemainingBody, conn: c}
-	} else if !reuse {
+	if response.RemainingBody == nil && !reuse {
 		c.close()
 	}
 	x.result <- result{response: response}
 	return reuse
 }
 
-// connClosingBody is the streamed part of a long body. Its Close closes the connection.
-type connClosingBody struct {
+// remainingBody is the streamed part of a long body. The end of ctx or Close closes the
+// connection.
+type remainingBody struct {
 	io.ReadCloser
 	conn *conn
+	ctx  context.Context
+	stop func() bool // stops watching ctx
+}
+
+// Read implements io.Reader. If ctx has ended, its error is that of ctx.
+func (b *remainingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF && b.ctx.Err() != nil {
+		err = b.ctx.Err()
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
-func (s *connClosingBody) Close() error {
-	s.conn.close()
+func (b *remainingBody) Close() error {
+	b.stop()
+	b.conn.close()
 	return nil
 }
 
@@ -252,7 +263,6 @@
 	}
 	written := make(chan error, 1)
 	stop := context.AfterFunc(ctx, c.close)
-	defer stop()
 	if x.request.ContentLength == 0 {
 		written <- c.writeRequest(x.request)
 	} else {
@@ -260,6 +270,12 @@
 		go func() { written <- c.writeRequest(x.request) }()
 	}
 	r := <-x.result
+	if r.err == nil && r.response.RemainingBody != nil {
+		// The rest of the body has no other bound than ctx.
+		r.response.RemainingBody = &remainingBody{ReadCloser: r.response.RemainingBody, conn: c, ctx: ctx, stop: stop}
+	} else {
+		stop()
+	}
 	if r.err != nil {
 		c.close()
 		if ctx.Err() != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -44,7 +44,8 @@
 )
 
 // Response is the HTTP response of a backend server. Body is the whole body unless RemainingBody
-// is set. If RemainingBody is set, it reads the bytes after Body and must be closed.
+// is set. If RemainingBody is set, it reads the bytes after Body, until the context of the request
+// ends, and must be closed.
 type Response struct {
 	Status         int
 	Header         http.Header
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -134,6 +134,21 @@
 	}
 }
 
+// Guards against a long response that is read on after its request has ended: nothing else would
+// end it if the server falls silent.
+func TestRestOfALongResponseEndsWithItsRequest(t *testing.T) {
+	start := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9999999\r\n\r\n" + strings.Repeat("x", 2*BodyBufferBytes)
+	s := newScriptedServer(t, start)
+	ctx, cancel := context.WithCancel(t.Context())
+	response, _, err := send(ctx, New("X-Id", nil), s.address, http.MethodGet, "1")
+	must.NoError(t, err)
+	time.AfterFunc(50*time.Millisecond, cancel)
+	n, err := io.Copy(io.Discard, response.RemainingBody)
+	must.ErrorIs(t, err, context.Canceled)
+	must.LessEq(t, 2*BodyBufferBytes, int(n)+len(response.Body))
+	must.NoError(t, response.RemainingBody.Close())
+}
+
 // Guards against a late second copy of a response that reaches the next caller on the
 // connection, with or without the ID of its request.
 func TestLateSecondResponseReachesNoOtherCaller(t *testing.T) {
