upstream: bound the memory of all buffered responses

Reported by other operators: bytes without an end, in a head or a body, filled the memory of the machine that had called the server, and the requests of its other clients ended with it.

Cause: each exchange buffers at most 1 MiB of a body and 256 KiB of a head, but nothing bounded their sum. Ruled out: an exchange beyond its own bound (TestBytesWithoutEndAreBounded), and slots as a bound on their number (a slot is free once the start of a long response has arrived).

Small responses need no reservation; a long body without a free buffer is streamed from where it is. In forward and in health probes, heads are bounded to 256 and 16 KiB instead of the 10 MiB of net/http.

Conclusion: fixed.

--- a/balancer/probe.go
+++ b/balancer/probe.go
@@ -26,6 +26,8 @@
 	// maxProbeBodyBytes is the number of bytes read of a response body, so that the
 	// connection can be reused.
 	maxProbeBodyBytes = 4 << 10
+	// maxProbeHeadBytes is the largest head of a response.
+	maxProbeHeadBytes = 16 << 10
 )
 
 // prober probes the health endpoints of the backend servers in the region of this
@@ -42,7 +44,7 @@
 		balancer: b,
 		client: &http.Client{
 			Timeout:   probeTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute},
+			Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxProbeHeadBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -292,6 +292,30 @@
 	<-ended
 }
 
+// Guards against a response head without an end that is read until memory runs out.
+func TestResponseHeadWithoutEndIsRejected(t *testing.T) {
+	sent := make(chan int, 1)
+	r := newTestInstance(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		line := strings.Repeat("X-More: 1\r\n", 1000)
+		total, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			var n int
+			n, err = io.WriteString(conn, line)
+			total += n
+		}
+		sent <- total
+	})
+	resp, _ := do(t, r.newRequest(t, "GET", "/r/check/x", ""))
+	must.GreaterEq(t, http.StatusInternalServerError, resp.StatusCode)
+	const socketBuffers = 8 << 20 // bytes that the kernel may hold for both ends
+	must.Less(t, maxResponseHeadBytes+socketBuffers, <-sent)
+}
+
 // Guards against request and response bodies that are truncated or changed when they are
 // longer than the buffer.
 func TestLongBodiesPassThrough(t *testing.T) {
--- a/forward/transport.go
+++ b/forward/transport.go
@@ -21,6 +21,9 @@
 	idleConnTimeout       = 20 * time.Second
 	maxIdleConnsPerServer = 32
 	returnTripAllowance   = 5 * time.Millisecond // for sending the response back to the caller
+	// maxResponseHeadBytes is the largest head of a response. net/http by itself accepts 10 MiB,
+	// which a server in trouble could send to many requests at a time.
+	maxResponseHeadBytes = 256 << 10
 )
 
 // Transport sends requests to backend servers. It never sends a non-idempotent one twice.
@@ -32,13 +35,14 @@
 // NewTransport returns a transport. It opens no connection.
 func NewTransport() *Transport {
 	pooled := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost:   maxIdleConnsPerServer,
-		IdleConnTimeout:       idleConnTimeout,
-		DisableCompression:    true,
-		ReadBufferSize:        16 << 10,
-		WriteBufferSize:       16 << 10,
-		ExpectContinueTimeout: time.Second,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		ReadBufferSize:         16 << 10,
+		WriteBufferSize:        16 << 10,
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
+		ExpectContinueTimeout:  time.Second,
 		// Disables HTTP/2. With HTTP/1.1 a connection carries one request at a time,
 		// so that the responses of different requests cannot be mixed up.
 		TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,7 +44,7 @@
 		return sendResult{reason: err.Error()}
 	}
 	outgoing := g.serverRequest(state, server.id, time.Until(state.deadline))
-	serverResponse, maybeSent, err := g.upstream.Send(ctx, server.id, server.address, outgoing, state.requestID)
+	serverResponse, maybeSent, err := g.upstream.Send(ctx, server.id, server.address, outgoing, state.requestID, state.buffers)
 	attemptResult := dispatch.AttemptResult{Duration: time.Since(start)}
 	var result sendResult
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,9 @@
 	Log      *slog.Logger
 	Registry prometheus.Registerer
 	Seed     uint64
+	// ResponseBufferBytes bounds the memory of responses that are buffered on their way from
+	// servers to callers; 0 means upstream.DefaultBufferBytes.
+	ResponseBufferBytes int64
 	// Bootstrap is set when the whole system starts for the first time.
 	Bootstrap bool
 	// InitialBurstFraction is the fraction of its burst that a customer may use right after the
@@ -151,7 +154,12 @@
 	}
 	g.dispatcher.SetMaxRegionShift(o.Policy.MaxRegionShift)
 	g.borrower = &quotaBorrower{gateway: g, byCustomer: make(map[string]*customerBorrowing)}
-	g.upstream = upstream.New(o.Dialect.RequestIDHeader(), g.metrics.connections.Inc)
+	bufferBytes := o.ResponseBufferBytes
+	if bufferBytes == 0 {
+		bufferBytes = upstream.DefaultBufferBytes
+	}
+	g.upstream = upstream.New(o.Dialect.RequestIDHeader(), g.metrics.connections.Inc, bufferBytes)
+	registerBufferMetric(o.Registry, g.upstream)
 	return g
 }
 
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthrack/jacinthrack/problem"
 	"github.com/jacinthrack/jacinthrack/quarantine"
 	"github.com/jacinthrack/jacinthrack/routes"
+	"github.com/jacinthrack/jacinthrack/upstream"
 )
 
 // Limits on handling a request.
@@ -42,6 +43,7 @@
 	configAge     time.Duration // at the time the route and customer were looked up
 	deadline      time.Time
 	fingerprint   quarantine.Fingerprint
+	buffers       *upstream.Buffers // of the responses of servers
 
 	attempts     int
 	sentAttempts int           // attempts of which bytes may have reached a server
@@ -79,13 +81,20 @@
 		return nil, rejection
 	}
 	ctx, cancel := context.WithDeadline(ctx, state.deadline)
+	state.buffers = g.upstream.NewBuffers()
 	response, rejection := g.takeTokenAndForward(ctx, state)
-	if response != nil && response.RemainingBody != nil {
+	if response == nil {
+		cancel()
+		state.buffers.Release()
+		return nil, rejection
+	}
+	response.ReleaseBody = state.buffers.Release
+	if response.RemainingBody != nil {
 		g.streamResponse(ctx, cancel, state, response)
 	} else {
 		cancel()
 	}
-	return response, rejection
+	return response, nil
 }
 
 // takeTokenAndForward runs an admitted request within its deadline, which is that of ctx.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jacinthrack/jacinthrack/upstream"
 )
 
 // metrics holds the Prometheus metrics of the data path.
@@ -49,6 +51,16 @@
 	return m
 }
 
+// registerBufferMetric registers the metric of the memory that buffered responses occupy.
+func registerBufferMetric(r prometheus.Registerer, client *upstream.Client) {
+	if r == nil {
+		return
+	}
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "jacinthrack_response_buffer_bytes", Help: "Memory of the responses on their way from servers to callers.",
+	}, func() float64 { return float64(client.BufferedBytes()) }))
+}
+
 // logRetryDecisions writes a log line for each service whose requests needed retries since the
 // last call, with the state of the retry budget.
 func (g *Gateway) logRetryDecisions() {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -64,6 +64,8 @@
 	// BodyLength is the size of the whole body in bytes, -1 if unknown. It is used if
 	// RemainingBody is set and in responses to HEAD requests.
 	BodyLength int64
+	// ReleaseBody, if not nil, is called when Body has been written or is not needed.
+	ReleaseBody func()
 	// Replacement, if not nil, is called before a response with RemainingBody is written. It
 	// returns the response to write instead if RemainingBody can no longer be read, otherwise
 	// nil.
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -25,6 +25,7 @@
 			open = false
 			c.closeGracefully()
 		}
+		response.releaseBody()
 		if response.RemainingBody != nil {
 			response.RemainingBody.Close()
 		}
@@ -36,6 +37,15 @@
 	}
 }
 
+// releaseBody drops Body, so that a long response does not occupy it to its end.
+func (r *Response) releaseBody() {
+	r.Body = nil
+	if r.ReleaseBody != nil {
+		r.ReleaseBody()
+		r.ReleaseBody = nil
+	}
+}
+
 // replaceIfUnreadable returns the replacement of a response if it needs one, otherwise the response.
 func replaceIfUnreadable(r *Response) *Response {
 	if r.Replacement != nil {
@@ -150,7 +160,9 @@
 		if r.RemainingBody == nil {
 			return nil
 		}
-		return c.copyRemainingBody(w, r.RemainingBody, r.BodyLength-int64(len(r.Body)))
+		remaining := r.BodyLength - int64(len(r.Body))
+		r.releaseBody()
+		return c.copyRemainingBody(w, r.RemainingBody, remaining)
 	}
 	return c.writeChunks(w, r)
 }
@@ -176,6 +188,7 @@
 	if err := chunk(r.Body); err != nil {
 		return err
 	}
+	r.releaseBody()
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := r.RemainingBody.Read(buf)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -34,6 +34,7 @@
 type exchange struct {
 	request   *http.Request
 	requestID string
+	buffers   *Buffers
 	result    chan result // receives exactly one result
 }
 
@@ -85,7 +86,7 @@
 		return nil, false, &MalformedResponseError{Err: err}
 	}
 	responseID := resp.Header.Get(c.pool.idHeader)
-	body, complete, err := readBody(resp)
+	body, complete, err := readBody(resp, x.buffers)
 	if err != nil {
 		return nil, false, &TruncatedResponseError{Status: resp.StatusCode, Err: err}
 	}
@@ -112,7 +113,7 @@
 // trouble may send either without end, so that both are limited.
 func (c *conn) readHead(x *exchange) (*http.Response, error) {
 	for range maxInformationalResponses + 1 {
-		c.head.limit(maxResponseHeadBytes)
+		c.head.limit(maxResponseHeadBytes, x.buffers)
 		resp, err := http.ReadResponse(c.reader, x.request)
 		c.head.unlimit()
 		if err != nil {
@@ -125,22 +126,29 @@
 	return nil, &TooManyInformationalResponsesError{}
 }
 
-// readBody reads a body of up to BodyBufferBytes bytes. Of a longer body it reads only the first
-// BodyBufferBytes+1 bytes; complete is then false.
-func readBody(resp *http.Response) (body []byte, complete bool, err error) {
+// readBody reads a body of up to BodyBufferBytes bytes. Of a longer body, and of one for which no
+// buffer is free, it reads only the start; complete is then false.
+func readBody(resp *http.Response, buffers *Buffers) (body []byte, complete bool, err error) {
 	if resp.ContentLength == 0 {
 		return nil, true, nil
 	}
-	size := int64(512)
+	size := 512
 	if resp.ContentLength > 0 {
-		size = min(resp.ContentLength, BodyBufferBytes)
+		size = int(min(resp.ContentLength, BodyBufferBytes)) + 1
 	}
-	buf := make([]byte, 0, size+1)
-	for int64(len(buf)) <= BodyBufferBytes {
+	if size > unreservedBodyBytes && !buffers.reserve(int64(size)) {
+		size = unreservedBodyBytes
+	}
+	buf := make([]byte, 0, size)
+	for len(buf) <= BodyBufferBytes {
 		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
+			larger := min(2*cap(buf), BodyBufferBytes+1)
+			if larger > unreservedBodyBytes && !buffers.reserve(int64(larger-cap(buf))) {
+				break
+			}
+			buf = append(make([]byte, 0, larger), buf...)
 		}
-		n, err := resp.Body.Read(buf[len(buf):min(cap(buf), BodyBufferBytes+1)])
+		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if err == io.EOF {
 			return buf, true, nil
--- a/upstream/headlimit.go
+++ b/upstream/headlimit.go
@@ -24,6 +24,11 @@
 	return fmt.Sprintf("the response head is larger than %d bytes", maxResponseHeadBytes)
 }
 
+// NoBufferError reports a response head for which no buffer is free.
+type NoBufferError struct{}
+
+func (*NoBufferError) Error() string { return "no buffer is free for the response head" }
+
 // TooManyInformationalResponsesError reports more than maxInformationalResponses
 // informational responses to a request.
 type TooManyInformationalResponsesError struct{}
@@ -39,9 +44,13 @@
 	source  io.Reader
 	limited bool
 	left    int // bytes that may still be read while limited is set
+	read    int // bytes read since limited was set
+	buffers *Buffers
 }
 
-func (l *headLimiter) limit(bytes int) { l.limited, l.left = true, bytes }
+func (l *headLimiter) limit(bytes int, buffers *Buffers) {
+	l.limited, l.left, l.read, l.buffers = true, bytes, 0, buffers
+}
 
 func (l *headLimiter) unlimit() { l.limited = false }
 
@@ -52,5 +61,9 @@
 	}
 	n, err := l.source.Read(p)
 	l.left -= n
+	l.read += n
+	if l.limited && l.read > unreservedHeadBytes && !l.buffers.reserve(int64(headMemoryFactor*n)) {
+		return 0, &NoBufferError{}
+	}
 	return n, err
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -23,7 +23,8 @@
 const (
 	// BodyBufferBytes is the size in bytes up to which a response body is read completely
 	// before the response is passed on, so that a truncated short response is detected
-	// before any of it is sent to the caller. A longer body is streamed.
+	// before any of it is sent to the caller. A longer body is streamed, and so is a shorter
+	// one for which no buffer is free.
 	BodyBufferBytes = 1 << 20
 	// dialTimeout bounds opening a connection. Servers accept one in about 1 ms, and
 	// the latency between regions is 20 ms.
@@ -102,15 +103,17 @@
 type Client struct {
 	idHeader string
 	onDial   func()
+	buffers  bufferBudget
 
 	mu    sync.Mutex
 	pools map[string]*pool // by server ID and address, as "ID@address"
 }
 
 // New returns a client. idHeader is the name of the response header that holds the request
-// ID. onDial, if not nil, is called for each new connection.
-func New(idHeader string, onDial func()) *Client {
-	return &Client{idHeader: idHeader, onDial: onDial, pools: make(map[string]*pool)}
+// ID. onDial, if not nil, is called for each new connection. bufferBytes bounds the memory of
+// buffered responses.
+func New(idHeader string, onDial func(), bufferBytes int64) *Client {
+	return &Client{idHeader: idHeader, onDial: onDial, buffers: bufferBudget{limit: bufferBytes}, pools: make(map[string]*pool)}
 }
 
 // pool holds the idle connections to one server at one address.
@@ -125,10 +128,11 @@
 
 // Send sends a request to the server at address and returns its response. serverID
 // identifies one run of the server process; connections are not shared between two runs at
-// the same address. maybeSent is set if bytes of the request may have reached the server.
-func (c *Client) Send(ctx context.Context, serverID, address string, r *http.Request, requestID string) (response *Response, maybeSent bool, err error) {
+// the same address. The response occupies buffers until they are released. maybeSent is set if
+// bytes of the request may have reached the server.
+func (c *Client) Send(ctx context.Context, serverID, address string, r *http.Request, requestID string, buffers *Buffers) (response *Response, maybeSent bool, err error) {
 	p := c.poolFor(serverID, address)
-	x := &exchange{request: r, requestID: requestID, result: make(chan result, 1)}
+	x := &exchange{request: r, requestID: requestID, buffers: buffers, result: make(chan result, 1)}
 	connection := p.acquire(x)
 	if connection == nil {
 		if connection, err = c.dial(ctx, p, x); err != nil {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -64,7 +64,7 @@
 
 func send(ctx context.Context, c *Client, address, method, id string) (*Response, bool, error) {
 	r := &http.Request{Method: method, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"X-Id": {id}}, ProtoMajor: 1, ProtoMinor: 1}
-	return c.Send(ctx, "s", address, r, id)
+	return c.Send(ctx, "s", address, r, id, c.NewBuffers())
 }
 
 func responseText(id, body string) string {
@@ -74,7 +74,7 @@
 // Guards against sending a request whose context is already cancelled on an idle connection.
 func TestCancelledRequestIsNotSent(t *testing.T) {
 	s := newScriptedServer(t, responseText("1", "one"), responseText("2", "two"))
-	c := New("X-Id", nil)
+	c := New("X-Id", nil, DefaultBufferBytes)
 	_, _, err := send(t.Context(), c, s.address, http.MethodGet, "1")
 	must.NoError(t, err)
 	cancelled, cancel := context.WithCancel(t.Context())
@@ -89,7 +89,7 @@
 func TestSentRequestIsNotRepeated(t *testing.T) {
 	var dials atomic.Int32
 	s := newScriptedServer(t, responseText("1", "one"), "") // the second request gets no response
-	c := New("X-Id", func() { dials.Add(1) })
+	c := New("X-Id", func() { dials.Add(1) }, DefaultBufferBytes)
 	_, _, err := send(t.Context(), c, s.address, http.MethodGet, "1")
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -122,7 +122,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newScriptedServer(t, c.responses...)
-			r, _, err := send(t.Context(), New("X-Id", nil), s.address, http.MethodGet, "2")
+			r, _, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), s.address, http.MethodGet, "2")
 			if c.failure != nil {
 				var malformed *MalformedResponseError
 				must.True(t, errors.As(err, &malformed))
@@ -140,7 +140,7 @@
 	start := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9999999\r\n\r\n" + strings.Repeat("x", 2*BodyBufferBytes)
 	s := newScriptedServer(t, start)
 	ctx, cancel := context.WithCancel(t.Context())
-	response, _, err := send(ctx, New("X-Id", nil), s.address, http.MethodGet, "1")
+	response, _, err := send(ctx, New("X-Id", nil, DefaultBufferBytes), s.address, http.MethodGet, "1")
 	must.NoError(t, err)
 	time.AfterFunc(50*time.Millisecond, cancel)
 	n, err := io.Copy(io.Discard, response.RemainingBody)
@@ -160,7 +160,7 @@
 		t.Run(name, func(t *testing.T) {
 			// The copy arrives when the second request is in flight.
 			s := newScriptedServer(t, responseText("1", "one"), c.second)
-			client := New("X-Id", nil)
+			client := New("X-Id", nil, DefaultBufferBytes)
 			_, _, err := send(t.Context(), client, s.address, http.MethodGet, "1")
 			must.NoError(t, err)
 			r, sent, err := send(t.Context(), client, s.address, http.MethodGet, "2")
@@ -180,7 +180,7 @@
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	var dials atomic.Int32
 	s := newScriptedServer(t, responseText("1", "one")+responseText("1", "one"), responseText("2", "two"))
-	c := New("X-Id", func() { dials.Add(1) })
+	c := New("X-Id", func() { dials.Add(1) }, DefaultBufferBytes)
 	for range 2 {
 		r, _, err := send(t.Context(), c, s.address, http.MethodGet, "1")
 		must.NoError(t, err)
@@ -242,7 +242,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, bytesSent := newEndlessServer(t, c.prefix, c.repeated)
-			response, _, err := send(t.Context(), New("X-Id", nil), address, http.MethodGet, "1")
+			response, _, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), address, http.MethodGet, "1")
 			if c.streamed {
 				must.NoError(t, err)
 				must.LessEq(t, BodyBufferBytes+1, len(response.Body))
@@ -280,10 +280,10 @@
 // Guards against a truncated response that is reported as complete, and against an error for
 // a response without a length, whose body ends with the connection.
 func TestTruncatedAndUnframedResponses(t *testing.T) {
-	_, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf"), http.MethodGet, "1")
+	_, _, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), newClosingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf"), http.MethodGet, "1")
 	var truncated *TruncatedResponseError
 	must.True(t, errors.As(err, &truncated))
-	r, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it"), http.MethodGet, "1")
+	r, _, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), newClosingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it"), http.MethodGet, "1")
 	must.NoError(t, err)
 	must.True(t, strings.HasPrefix(string(r.Body), "all of it"))
 }
@@ -303,7 +303,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newScriptedServer(t, c.first, c.second)
 			var dials atomic.Int32
-			client := New("X-Id", func() { dials.Add(1) })
+			client := New("X-Id", func() { dials.Add(1) }, DefaultBufferBytes)
 			first, _, err := send(t.Context(), client, s.address, http.MethodPost, "1")
 			must.NoError(t, err)
 			must.Eq(t, http.StatusServiceUnavailable, first.Status)
@@ -328,11 +328,11 @@
 		"length, LF only": "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 10\n\n0123456789",
 	} {
 		t.Run(name, func(t *testing.T) {
-			whole, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, response), http.MethodGet, "1")
+			whole, _, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), newClosingServer(t, response), http.MethodGet, "1")
 			must.NoError(t, err)
 			must.Eq(t, "0123456789", string(whole.Body))
 			for length := range len(response) {
-				cut, _, err := send(t.Context(), New("X-Id", nil), newClosingServer(t, response[:length]), http.MethodGet, "1")
+				cut, _, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), newClosingServer(t, response[:length]), http.MethodGet, "1")
 				if err == nil {
 					t.Errorf("complete after %d of %d bytes: status %d, body %q", length, len(response), cut.Status, cut.Body)
 				}
