gateway: reject what may outlast the grace period of a planned stop

Reported by other operators: in a planned stop in calm, requests that came late in the grace period were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated.

Cause: every request was taken for 2.7 s after SIGTERM, however long it may take; the instance waits for 5.7 s. Ruled out: ready responses that are not delivered, and connections closed under requests (no order sent before 1.9 s was cut).

When a stop begins, the gateway learns by when its last response must be written. A request is then sent to a server only if its deadline is earlier, or if it is idempotent and three times the usual duration of its route fits; the latter gets a 504 at the end at the latest. All others are rejected at once as not run, new ones as well as those that wait, so that their callers use another instance.

Conclusion: fixed; a request that was sent before SIGTERM with a deadline beyond the grace period can still be cut.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -167,6 +167,9 @@
 	return !slices.Contains(r.ExcludedServerIDs, s.ID)
 }
 
+// RouteServiceTime returns the mean service time of a route, 0 before the first sample.
+func (d *Dispatcher) RouteServiceTime(route string) time.Duration { return d.routeServiceTimes[route] }
+
 // meanServiceTime returns the mean service time of the pool, defaultServiceTime before the
 // first sample.
 func (p *servicePool) meanServiceTime() time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,8 +116,10 @@
 	startedAt         time.Time
 
 	config            atomic.Pointer[routes.Config]
-	rejecting         atomic.Bool  // reject new requests, shortly before the process ends
-	configConfirmedAt atomic.Int64 // boottime.Instant at which the configuration was the newest one; 0 for never
+	rejecting         atomic.Bool // reject new requests, shortly before the process ends
+	stopPlan          atomic.Pointer[stopPlan]
+	stopPlanned       chan struct{} // closed when stopPlan is set
+	configConfirmedAt atomic.Int64  // boottime.Instant at which the configuration was the newest one; 0 for never
 
 	mu             sync.Mutex // guards the fields below, except stop
 	policy         Policy
@@ -143,6 +145,7 @@
 		memberCount:       assumedMemberCount,
 		rng:               rand.New(rand.NewPCG(o.Seed, 1)),
 		waiterChannels:    make(map[*dispatch.Waiter]chan reservedServer),
+		stopPlanned:       make(chan struct{}),
 		stop:              make(chan struct{}),
 		requestLogLimiter: rate.NewLimiter(maxRequestLogsPerSecond, maxRequestLogsPerSecond),
 		startedAt:         time.Now(),
@@ -354,9 +357,6 @@
 	g.dispatcher.MergeRateDemands(instance, demands, delay, time.Now())
 }
 
-// RejectRequests makes the gateway reject all further requests, stating that they did not run.
-func (g *Gateway) RejectRequests() { g.rejecting.Store(true) }
-
 // Limits returns the limits on the requests and connections of callers.
 func (g *Gateway) Limits() ingress.Limits {
 	c := g.config.Load()
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -110,7 +110,7 @@
 // unknown, or the keys are too old.
 func (g *Gateway) admit(state *requestState) *problem.Document {
 	if g.rejecting.Load() {
-		return problem.New(problem.TypeDraining, http.StatusServiceUnavailable, problem.DidNotRun, "this instance stops")
+		return drainingProblem()
 	}
 	// The age is read before the configuration: if a newer configuration arrives in
 	// between, the older one must not be used with the age of the newer one.
@@ -137,6 +137,10 @@
 		}
 	}
 	state.deadline = responseDeadline(state, g.dialect)
+	if !g.endsBeforeStop(state) {
+		return drainingProblem()
+	}
+	g.capDeadline(state)
 	return nil
 }
 
@@ -257,6 +261,9 @@
 
 // reserveServer reserves a slot at a server and waits for one if necessary.
 func (g *Gateway) reserveServer(ctx context.Context, state *requestState, request *dispatch.Request) (reservedServer, *problem.Document) {
+	if !g.endsBeforeStop(state) {
+		return reservedServer{}, g.stopProblem(state)
+	}
 	start := time.Now()
 	g.mu.Lock()
 	decision, waiter := g.dispatcher.Submit(request, start)
@@ -273,21 +280,32 @@
 	g.waiterChannels[waiter] = assigned
 	g.mu.Unlock()
 	defer func() { state.capacityWait += time.Since(start) }()
+	stopPlanned := g.stopPlanned
 	for {
 		timer := time.NewTimer(time.Until(decision.ReviewAt))
 		select {
 		case server := <-assigned:
 			timer.Stop()
-			return server, nil
+			return g.confirmAssignment(state, request, server)
 		case <-timer.C:
+		case <-stopPlanned:
+			timer.Stop()
+			stopPlanned = nil
 		case <-ctx.Done():
 			timer.Stop()
 		}
+		endsBeforeStop := g.endsBeforeStop(state)
 		g.mu.Lock()
 		if g.waiterChannels[waiter] == nil {
 			// startWaiters has assigned a server in the meantime and sent it to the channel.
 			g.mu.Unlock()
-			return <-assigned, nil
+			return g.confirmAssignment(state, request, <-assigned)
+		}
+		if !endsBeforeStop {
+			g.dispatcher.RemoveWaiter(waiter)
+			delete(g.waiterChannels, waiter)
+			g.mu.Unlock()
+			return reservedServer{}, g.stopProblem(state)
 		}
 		now := time.Now()
 		if ctx.Err() != nil {
@@ -305,20 +323,36 @@
 	}
 }
 
+// confirmAssignment returns the server that was assigned to a request after a wait, or a rejection
+// if the process ends too soon by now.
+func (g *Gateway) confirmAssignment(state *requestState, request *dispatch.Request, server reservedServer) (reservedServer, *problem.Document) {
+	if g.endsBeforeStop(state) {
+		return server, nil
+	}
+	g.finishAttempt(request, server, dispatch.AttemptResult{Outcome: dispatch.OutcomeCancelled})
+	return reservedServer{}, g.stopProblem(state)
+}
+
 // rejectionProblem returns the problem document for a rejection decision. If no server can have
 // run the request, it also refunds the customer's quota token.
 func (g *Gateway) rejectionProblem(state *requestState, d dispatch.Decision) *problem.Document {
 	if state.mayHaveRun {
 		return problem.New(problem.TypeBackendFailed, http.StatusBadGateway, problem.MayHaveRun, "no further server: %s", d.Reason)
 	}
-	if state.customer != nil {
-		g.mu.Lock()
-		g.quotas.Refund(state.customer.Name)
-		g.mu.Unlock()
-	}
+	g.refundQuota(state)
 	return problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.DidNotRun, "%s", d.Reason).WithRetryAfter(d.RetryAfter)
 }
 
+// refundQuota returns the customer's quota token of a request that did not run.
+func (g *Gateway) refundQuota(state *requestState) {
+	if state.customer == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quotas.Refund(state.customer.Name)
+}
+
 // mayRetry reports whether another attempt is allowed. An attempt that sent nothing does not
 // use the retry budget.
 func (g *Gateway) mayRetry(ctx context.Context, state *requestState, result sendResult) bool {
