dispatch: send nothing to servers that announce in a response that they leave

No code read the header.

The announcement of a server now holds for the life of its process, whatever its record says afterwards: written again, removed and back, or unreadable. A response of an earlier process under the same id, or of another server at the address, is not taken for it. Requests that wait are not sent there either. One log line when it begins, with the request's id, and one when it ends; a metric counts the servers.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,6 +37,7 @@
 type Dispatcher struct {
 	locality          Locality
 	servers           map[string]*Server
+	leaving           map[string]leavingServer // by server id
 	services          map[string]*servicePool
 	routeServiceTimes map[string]time.Duration // mean service time by route name
 	members           int                      // instances that share the servers
@@ -66,6 +67,7 @@
 	return &Dispatcher{
 		locality:          locality,
 		servers:           make(map[string]*Server),
+		leaving:           make(map[string]leavingServer),
 		services:          make(map[string]*servicePool),
 		routeServiceTimes: make(map[string]time.Duration),
 		members:           1,
@@ -122,11 +124,13 @@
 		}
 		s.Region = d.locality.RegionByZone[l.Zone]
 		s.update(l, now)
+		d.restoreLeaving(s)
 		if s.Evacuated && !evacuated[l.Zone] {
 			s.markCold(readmissionPacing, now)
 		}
 		s.Evacuated = evacuated[l.Zone]
 	}
+	d.forgetLeaving(present, now)
 	for id, s := range d.servers {
 		if present[id] {
 			continue
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -23,7 +23,10 @@
 	Duration   time.Duration // from the start of the attempt to its end
 	Load       *LoadReport   // load reported by the server, or nil
 	WarmupLeft time.Duration // remaining warm-up time reported by the server, or 0
-	Rate       *RateReport   // rate reported by the server; nil without a response or if it is malformed
+	Leaving    bool          // the server announced that it leaves
+	// Incarnation identifies the server's process when the attempt started, see routes.Server.
+	Incarnation int64
+	Rate        *RateReport // rate reported by the server; nil without a response or if it is malformed
 }
 
 // Finish records the end of an attempt that was started on a server, and updates the
@@ -38,6 +41,7 @@
 		s.markCold(result.WarmupLeft, now)
 	}
 	d.applyRateReport(s, result, now)
+	d.applyLeaving(s, result)
 	failed := 0.0
 	switch result.Outcome {
 	case OutcomeSucceeded:
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -66,6 +66,7 @@
 	coldSince           time.Time            // start of the current or last warm-up
 	coldUntil           time.Time            // its end
 	nextColdRequest     time.Time            // time of this instance's next request to the cold server
+	leaving             bool                 // announced in a response
 	rateLimit           rateLimit            // set by the server in its responses
 	unlimitedAt         time.Time            // time of the response that ended the last rate limit
 	recentObjects       map[uint64]time.Time // last time at which the server handled an object, by its hash
@@ -108,7 +109,7 @@
 
 // usable reports whether the server may get new requests.
 func (s *Server) usable(now time.Time) bool {
-	return s.Ready && !s.Removed && !s.Evacuated && s.Slots > 0 && !now.Before(s.ejectedUntil)
+	return s.Ready && !s.Removed && !s.leaving && !s.Evacuated && s.Slots > 0 && !now.Before(s.ejectedUntil)
 }
 
 // estimatedLoad estimates the number of requests that run or wait at the server, from all
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -45,7 +46,7 @@
 	}
 	outgoing := g.serverRequest(state, server.id, time.Until(state.deadline))
 	serverResponse, maybeSent, err := g.upstream.Send(ctx, server.id, server.address, outgoing, state.requestID, state.buffers)
-	attemptResult := dispatch.AttemptResult{Duration: time.Since(start)}
+	attemptResult := dispatch.AttemptResult{Duration: time.Since(start), Incarnation: server.incarnation}
 	var result sendResult
 	if err != nil {
 		result, attemptResult.Outcome = g.handleSendError(ctx, state, server, maybeSent, err)
@@ -71,14 +72,31 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wasLimited := server.server.NamesRateLimit()
+	wasLimited, wasLeaving := server.server.NamesRateLimit(), server.server.Leaving()
 	g.dispatcher.Finish(request, server.server, attemptResult, now)
 	if limited := server.server.NamesRateLimit(); limited != wasLimited {
 		g.logRateLimit(server, limited, now)
 	}
+	if !wasLeaving && server.server.Leaving() {
+		g.log.Info("server announced that it leaves", "server", server.id, "service", server.service, "request_id", request.ID)
+	}
 	g.startWaiters(server.service, now)
 }
 
+// logNoLongerLeaving logs which of the servers that were leaving no longer are: their ids were
+// taken by another process, or they have long been gone. The lock must be held.
+func (g *Gateway) logNoLongerLeaving(wasLeaving []string) {
+	if len(wasLeaving) == 0 {
+		return
+	}
+	leaving := g.dispatcher.LeavingServers()
+	for _, id := range wasLeaving {
+		if _, found := slices.BinarySearch(leaving, id); !found {
+			g.log.Info("announcement of a server that it leaves no longer holds", "server", id)
+		}
+	}
+}
+
 // logRateLimit logs that a server has named a rate limit in a response, or no longer does. The lock
 // must be held.
 func (g *Gateway) logRateLimit(server reservedServer, limited bool, now time.Time) {
@@ -134,6 +152,7 @@
 func (g *Gateway) handleServerResponse(state *requestState, serverResponse *upstream.Response, attemptResult dispatch.AttemptResult) (sendResult, dispatch.AttemptResult) {
 	info := g.dialect.ParseResponse(serverResponse.Status, serverResponse.Header)
 	attemptResult.Load, attemptResult.WarmupLeft, attemptResult.Rate = info.Load, info.WarmupLeft, info.Rate
+	attemptResult.Leaving = info.Leaving
 	if (info.Misdirected || info.NotRun) && serverResponse.RemainingBody != nil {
 		serverResponse.RemainingBody.Close() // nobody reads the rest
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	Misdirected bool                 // a server other than the intended one answered
 	Load        *dispatch.LoadReport // nil if not reported
 	WarmupLeft  time.Duration        // time until the server has warmed up, 0 if not reported
+	Leaving     bool                 // the server announces that it leaves
 	Rate        *dispatch.RateReport // rate that the server takes; nil if it is malformed
 }
 
@@ -162,7 +163,7 @@
 		bufferBytes = upstream.DefaultBufferBytes
 	}
 	g.upstream = upstream.New(o.Dialect.RequestIDHeader(), g.metrics.connections.Inc, bufferBytes)
-	registerBufferMetric(o.Registry, g.upstream)
+	g.registerStateMetrics(o.Registry)
 	return g
 }
 
@@ -298,7 +299,9 @@
 func (g *Gateway) SetServers(servers []routes.Server, evacuated map[string]bool) {
 	now := time.Now()
 	g.mu.Lock()
+	wasLeaving := g.dispatcher.LeavingServers()
 	g.dispatcher.SetServers(servers, evacuated, now)
+	g.logNoLongerLeaving(wasLeaving)
 	g.startAllWaiters()
 	g.mu.Unlock()
 	addressByID := make(map[string]string, len(servers))
@@ -404,9 +407,10 @@
 	server      *dispatch.Server
 	id, address string
 	service     string
+	incarnation int64
 }
 
 // newReservedServer copies the fields of a server. The lock must be held.
 func newReservedServer(s *dispatch.Server) reservedServer {
-	return reservedServer{server: s, id: s.ID, address: s.Address, service: s.Service}
+	return reservedServer{server: s, id: s.ID, address: s.Address, service: s.Service, incarnation: s.Incarnation}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/jacinthrack/jacinthrack/upstream"
 )
 
 // metrics holds the Prometheus metrics of the data path.
@@ -51,14 +49,20 @@
 	return m
 }
 
-// registerBufferMetric registers the metric of the memory that buffered responses occupy.
-func registerBufferMetric(r prometheus.Registerer, client *upstream.Client) {
+// registerStateMetrics registers the metrics that are read from the state of the gateway.
+func (g *Gateway) registerStateMetrics(r prometheus.Registerer) {
 	if r == nil {
 		return
 	}
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "jacinthrack_servers_leaving", Help: "Backend servers that have announced in a response that they leave.",
+	}, func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(len(g.dispatcher.LeavingServers()))
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "jacinthrack_response_buffer_bytes", Help: "Memory of the responses on their way from servers to callers.",
-	}, func() float64 { return float64(client.BufferedBytes()) }))
+	}, func() float64 { return float64(g.upstream.BufferedBytes()) }))
 }
 
 // logRetryDecisions writes a log line for each service whose requests needed retries since the
