dispatch: keep the pauses that servers ask for with Retry-After

No code read the header of a server; such a server went on getting requests and was taken for a failing one.

A pause now holds for the process that asked for it: the server is not chosen by new requests, requests that wait, retries and requests for its objects. It does not raise its failure rate, and what it holds is remembered. Afterwards it gets one request at a time until one has succeeded. Seconds, fractions and dates are read; negative and unreadable values are ignored and those above 10 minutes cut, with a log line and a metric. If all servers that could run a request pause or leave, it is rejected at once, also if it waits, with the time after which one takes requests. What servers have said about themselves, leaving and pauses, is kept in one place (selfreport.go), by process, and expires there.

TestWaitingRequestIsNotSentToALeavingServer becomes TestRequestsAreRejectedAtOnceWhenAllServersLeaveOrPause, which asks for more: the waiting request must be rejected, not only not be sent.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -38,15 +38,17 @@
 }
 
 // cheapest returns the server of the lowest cost among the eligible servers that the filter
-// accepts, or nil if there is none. A server that limits its rate and must not get a request yet
-// is returned only if there is no other.
+// accepts, or nil if there is none. A server that limits its rate or has just ended a pause, and
+// must not get a request yet, is returned only if there is no other.
 func (d *Dispatcher) cheapest(r *Request, now time.Time, accept func(*Server) bool) *Server {
 	pool := d.services[r.Service]
 	if pool == nil {
 		return nil
 	}
-	if pool.limitsRates(now) {
-		best := d.lowestCost(r, pool, now, func(s *Server) bool { return accept(s) && !d.awaitsRateToken(s, now) })
+	if pool.limitsRates(now) || pool.resumes() {
+		best := d.lowestCost(r, pool, now, func(s *Server) bool {
+			return accept(s) && !d.awaitsRateToken(s, now) && !s.awaitsResumption()
+		})
 		if best != nil {
 			return best
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,7 +37,7 @@
 type Dispatcher struct {
 	locality          Locality
 	servers           map[string]*Server
-	leaving           map[string]leavingServer // by server id
+	selfReports       map[string]selfReport // by server id
 	services          map[string]*servicePool
 	routeServiceTimes map[string]time.Duration // mean service time by route name
 	members           int                      // instances that share the servers
@@ -67,7 +67,7 @@
 	return &Dispatcher{
 		locality:          locality,
 		servers:           make(map[string]*Server),
-		leaving:           make(map[string]leavingServer),
+		selfReports:       make(map[string]selfReport),
 		services:          make(map[string]*servicePool),
 		routeServiceTimes: make(map[string]time.Duration),
 		members:           1,
@@ -124,13 +124,13 @@
 		}
 		s.Region = d.locality.RegionByZone[l.Zone]
 		s.update(l, now)
-		d.restoreLeaving(s)
+		d.restoreSelfReport(s, now)
 		if s.Evacuated && !evacuated[l.Zone] {
 			s.markCold(readmissionPacing, now)
 		}
 		s.Evacuated = evacuated[l.Zone]
 	}
-	d.forgetLeaving(present, now)
+	d.expireSelfReports(present, now)
 	for id, s := range d.servers {
 		if present[id] {
 			continue
@@ -162,9 +162,11 @@
 
 // eligible reports whether a request may be sent to a server.
 func (d *Dispatcher) eligible(r *Request, s *Server, now time.Time) bool {
-	if !s.usable(now) {
-		return false
-	}
+	return s.usable(now) && r.allows(s)
+}
+
+// allows reports whether the request may run at a server that takes requests.
+func (r *Request) allows(s *Server) bool {
 	if r.RegionRestricted && !slices.Contains(r.AllowedRegions, s.Region) {
 		return false
 	}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -24,6 +24,7 @@
 	Load       *LoadReport   // load reported by the server, or nil
 	WarmupLeft time.Duration // remaining warm-up time reported by the server, or 0
 	Leaving    bool          // the server announced that it leaves
+	Pause      time.Duration // time for which the server wants no requests of this instance, or 0
 	// Incarnation identifies the server's process when the attempt started, see routes.Server.
 	Incarnation int64
 	Rate        *RateReport // rate reported by the server; nil without a response or if it is malformed
@@ -41,11 +42,12 @@
 		s.markCold(result.WarmupLeft, now)
 	}
 	d.applyRateReport(s, result, now)
-	d.applyLeaving(s, result)
+	d.applySelfReport(s, result, now)
 	failed := 0.0
 	switch result.Outcome {
 	case OutcomeSucceeded:
 		s.consecutiveFailures = 0
+		s.resuming = s.resuming && now.Before(s.pausedUntil)
 		d.recordServiceTime(r, s, result.Duration, now)
 		s.rememberObject(r.ObjectHash, now)
 	case OutcomeRejected, OutcomeFailed, OutcomeIncomplete:
@@ -59,7 +61,9 @@
 	case OutcomeCancelled:
 		return
 	}
-	s.failureRate += failureRateGain * (failed - s.failureRate)
+	if result.Pause == 0 { // otherwise the server is sound and says when to come back
+		s.failureRate += failureRateGain * (failed - s.failureRate)
+	}
 	if result.Load != nil {
 		s.applyLoadReport(*result.Load, d.services[s.Service].answeredInReport(result), now)
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -63,7 +63,8 @@
 		return Decision{Verdict: VerdictStart, Server: server, Reason: "room"}, nil
 	}
 	if !anyEligible {
-		return Decision{Verdict: VerdictReject, Reason: "no usable server", RetryAfter: minEjection}, nil
+		reason, retryAfter := d.noServer(r, now)
+		return Decision{Verdict: VerdictReject, Reason: reason, RetryAfter: retryAfter}, nil
 	}
 	w := d.newWaiter(r, now)
 	pool := d.services[r.Service]
@@ -173,14 +174,18 @@
 	return true
 }
 
-// Assignment is a waiting request that starts, and the server that it was assigned to.
+// Assignment is a waiting request that starts, and the server that it was assigned to, or one that
+// is rejected.
 type Assignment struct {
 	Waiter *Waiter
-	Server *Server
+	Server *Server // nil if the request is rejected
+	// Rejection is why it is rejected.
+	Rejection Decision
 }
 
 // StartWaiters starts those waiting requests of a service for which a server has a free slot
-// now, in the order of compareWaiters.
+// now, in the order of compareWaiters. It rejects those for which all servers have asked for a pause
+// or leave.
 func (d *Dispatcher) StartWaiters(service string, now time.Time) []Assignment {
 	pool := d.services[service]
 	if pool == nil || len(pool.queue.waiters) == 0 {
@@ -190,8 +195,12 @@
 	slices.SortStableFunc(order, func(a, b *Waiter) int { return pool.compareWaiters(a, b, now) })
 	var assignments []Assignment
 	for _, w := range order {
-		server, _ := d.chooseServer(w.Request, now)
+		server, anyEligible := d.chooseServer(w.Request, now)
 		if server == nil {
+			if reason, retryAfter := d.noServer(w.Request, now); !anyEligible && (reason == ReasonAllPaused || reason == ReasonAllLeaving) {
+				d.RemoveWaiter(w)
+				assignments = append(assignments, Assignment{Waiter: w, Rejection: Decision{Verdict: VerdictReject, Reason: reason, RetryAfter: retryAfter}})
+			}
 			continue
 		}
 		d.RemoveWaiter(w)
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -67,6 +67,8 @@
 	coldUntil           time.Time            // its end
 	nextColdRequest     time.Time            // time of this instance's next request to the cold server
 	leaving             bool                 // announced in a response
+	pausedUntil         time.Time            // asked for in a response
+	resuming            bool                 // no request has succeeded since its last pause
 	rateLimit           rateLimit            // set by the server in its responses
 	unlimitedAt         time.Time            // time of the response that ended the last rate limit
 	recentObjects       map[uint64]time.Time // last time at which the server handled an object, by its hash
@@ -109,9 +111,12 @@
 
 // usable reports whether the server may get new requests.
 func (s *Server) usable(now time.Time) bool {
-	return s.Ready && !s.Removed && !s.leaving && !s.Evacuated && s.Slots > 0 && !now.Before(s.ejectedUntil)
+	return s.listedForUse() && !s.leaving && !now.Before(s.pausedUntil) && !now.Before(s.ejectedUntil)
 }
 
+// listedForUse reports whether the platform and the operator let the server get requests.
+func (s *Server) listedForUse() bool { return s.Ready && !s.Removed && !s.Evacuated && s.Slots > 0 }
+
 // estimatedLoad estimates the number of requests that run or wait at the server, from all
 // instances.
 func (s *Server) estimatedLoad(now time.Time) float64 {
--- a/dispatch/startable.go
+++ b/dispatch/startable.go
@@ -23,7 +23,7 @@
 
 // startable reports whether a request should be sent to a server now instead of waiting.
 func (d *Dispatcher) startable(r *Request, s *Server, now time.Time) bool {
-	if d.awaitsColdStart(s, now) || d.awaitsRateToken(s, now) {
+	if d.awaitsColdStart(s, now) || d.awaitsRateToken(s, now) || s.awaitsResumption() {
 		return false
 	}
 	slots := float64(s.Slots)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,7 +72,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wasLimited, wasLeaving := server.server.NamesRateLimit(), server.server.Leaving()
+	wasLimited, wasLeaving, wasPaused := server.server.NamesRateLimit(), server.server.Leaving(), server.server.PausedFor(now) > 0
 	g.dispatcher.Finish(request, server.server, attemptResult, now)
 	if limited := server.server.NamesRateLimit(); limited != wasLimited {
 		g.logRateLimit(server, limited, now)
@@ -80,9 +80,29 @@
 	if !wasLeaving && server.server.Leaving() {
 		g.log.Info("server announced that it leaves", "server", server.id, "service", server.service, "request_id", request.ID)
 	}
+	if pause := server.server.PausedFor(now); !wasPaused && pause > 0 {
+		g.pausedServers = g.dispatcher.PausedServers(now)
+		g.log.Info("server asked for a pause", "server", server.id, "service", server.service, "request_id", request.ID, "pause", pause.String())
+	}
 	g.startWaiters(server.service, now)
 }
 
+// logEndedPauses logs which servers take requests again after a pause.
+func (g *Gateway) logEndedPauses() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.pausedServers) == 0 {
+		return
+	}
+	paused := g.dispatcher.PausedServers(time.Now())
+	for _, id := range g.pausedServers {
+		if _, found := slices.BinarySearch(paused, id); !found {
+			g.log.Info("pause of a server has ended", "server", id)
+		}
+	}
+	g.pausedServers = paused
+}
+
 // logNoLongerLeaving logs which of the servers that were leaving no longer are: their ids were
 // taken by another process, or they have long been gone. The lock must be held.
 func (g *Gateway) logNoLongerLeaving(wasLeaving []string) {
@@ -152,7 +172,12 @@
 func (g *Gateway) handleServerResponse(state *requestState, serverResponse *upstream.Response, attemptResult dispatch.AttemptResult) (sendResult, dispatch.AttemptResult) {
 	info := g.dialect.ParseResponse(serverResponse.Status, serverResponse.Header)
 	attemptResult.Load, attemptResult.WarmupLeft, attemptResult.Rate = info.Load, info.WarmupLeft, info.Rate
-	attemptResult.Leaving = info.Leaving
+	attemptResult.Leaving, attemptResult.Pause = info.Leaving, info.Pause
+	if info.BadPause {
+		g.metrics.badPauses.Inc()
+		g.log.Warn("server asked for a pause that is malformed or too long", "request_id", state.requestID,
+			"server", state.triedServers[len(state.triedServers)-1], "used", info.Pause.String())
+	}
 	if (info.Misdirected || info.NotRun) && serverResponse.RemainingBody != nil {
 		serverResponse.RemainingBody.Close() // nobody reads the rest
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,8 @@
 	Load        *dispatch.LoadReport // nil if not reported
 	WarmupLeft  time.Duration        // time until the server has warmed up, 0 if not reported
 	Leaving     bool                 // the server announces that it leaves
+	Pause       time.Duration        // time for which the server wants no requests of this instance, 0 for none
+	BadPause    bool                 // the server asked for a pause that is malformed or too long
 	Rate        *dispatch.RateReport // rate that the server takes; nil if it is malformed
 }
 
@@ -129,7 +131,8 @@
 	memberCount    int
 	membersKnown   bool // memberCount was set by SetMemberCount
 	rng            *rand.Rand
-	waiterChannels map[*dispatch.Waiter]chan reservedServer // on which waiting requests receive their servers
+	waiterChannels map[*dispatch.Waiter]chan waitResult // on which waiting requests receive their servers
+	pausedServers  []string                             // ids of the servers whose pauses have begun and whose end is not logged
 	stop           chan struct{}
 }
 
@@ -145,7 +148,7 @@
 		quotas:            quota.NewBuckets(o.InitialBurstFraction),
 		memberCount:       assumedMemberCount,
 		rng:               rand.New(rand.NewPCG(o.Seed, 1)),
-		waiterChannels:    make(map[*dispatch.Waiter]chan reservedServer),
+		waiterChannels:    make(map[*dispatch.Waiter]chan waitResult),
 		stopPlanned:       make(chan struct{}),
 		stop:              make(chan struct{}),
 		requestLogLimiter: rate.NewLimiter(maxRequestLogsPerSecond, maxRequestLogsPerSecond),
@@ -196,6 +199,7 @@
 			return
 		case <-retryLogTicker.C:
 			g.logRetryDecisions()
+			g.logEndedPauses()
 		case <-ticker.C:
 			g.mu.Lock()
 			if len(g.waiterChannels) > 0 {
@@ -395,11 +399,21 @@
 // The lock must be held.
 func (g *Gateway) startWaiters(service string, now time.Time) {
 	for _, assignment := range g.dispatcher.StartWaiters(service, now) {
-		g.waiterChannels[assignment.Waiter] <- newReservedServer(assignment.Server)
+		if assignment.Server == nil {
+			g.waiterChannels[assignment.Waiter] <- waitResult{rejection: &assignment.Rejection}
+		} else {
+			g.waiterChannels[assignment.Waiter] <- waitResult{server: newReservedServer(assignment.Server)}
+		}
 		delete(g.waiterChannels, assignment.Waiter)
 	}
 }
 
+// waitResult is what becomes of a request that waits for a server.
+type waitResult struct {
+	server    reservedServer
+	rejection *dispatch.Decision // nil if a server was assigned
+}
+
 // reservedServer is a backend server at which a slot is reserved for a request. Its string
 // fields are copies that can be read without the lock, since the fields of server may
 // change under it.
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -276,7 +276,7 @@
 		g.mu.Unlock()
 		return reservedServer{}, g.rejectionProblem(state, decision)
 	}
-	assigned := make(chan reservedServer, 1)
+	assigned := make(chan waitResult, 1)
 	g.waiterChannels[waiter] = assigned
 	g.mu.Unlock()
 	defer func() { state.capacityWait += time.Since(start) }()
@@ -284,9 +284,9 @@
 	for {
 		timer := time.NewTimer(time.Until(decision.ReviewAt))
 		select {
-		case server := <-assigned:
+		case result := <-assigned:
 			timer.Stop()
-			return g.confirmAssignment(state, request, server)
+			return g.endWait(state, request, result)
 		case <-timer.C:
 		case <-stopPlanned:
 			timer.Stop()
@@ -299,7 +299,7 @@
 		if g.waiterChannels[waiter] == nil {
 			// startWaiters has assigned a server in the meantime and sent it to the channel.
 			g.mu.Unlock()
-			return g.confirmAssignment(state, request, <-assigned)
+			return g.endWait(state, request, <-assigned)
 		}
 		if !endsBeforeStop {
 			g.dispatcher.RemoveWaiter(waiter)
@@ -323,19 +323,25 @@
 	}
 }
 
-// confirmAssignment returns the server that was assigned to a request after a wait, or a rejection
-// if the process ends too soon by now.
-func (g *Gateway) confirmAssignment(state *requestState, request *dispatch.Request, server reservedServer) (reservedServer, *problem.Document) {
+// endWait returns the server that was assigned to a request after a wait, or a rejection, also if
+// the process ends too soon by now.
+func (g *Gateway) endWait(state *requestState, request *dispatch.Request, result waitResult) (reservedServer, *problem.Document) {
+	if result.rejection != nil {
+		return reservedServer{}, g.rejectionProblem(state, *result.rejection)
+	}
 	if g.endsBeforeStop(state) {
-		return server, nil
+		return result.server, nil
 	}
-	g.finishAttempt(request, server, dispatch.AttemptResult{Outcome: dispatch.OutcomeCancelled})
+	g.finishAttempt(request, result.server, dispatch.AttemptResult{Outcome: dispatch.OutcomeCancelled})
 	return reservedServer{}, g.stopProblem(state)
 }
 
 // rejectionProblem returns the problem document for a rejection decision. If no server can have
 // run the request, it also refunds the customer's quota token.
 func (g *Gateway) rejectionProblem(state *requestState, d dispatch.Decision) *problem.Document {
+	if reason, ok := selfReportReasons[d.Reason]; ok {
+		g.metrics.selfReportRejections.WithLabelValues(reason).Inc()
+	}
 	if state.mayHaveRun {
 		return problem.New(problem.TypeBackendFailed, http.StatusBadGateway, problem.MayHaveRun, "no further server: %s", d.Reason)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,17 +5,21 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jacinthrack/jacinthrack/dispatch"
 )
 
 // metrics holds the Prometheus metrics of the data path.
 type metrics struct {
-	requests      *prometheus.CounterVec   // by outcome
-	attempts      *prometheus.CounterVec   // by outcome
-	duration      *prometheus.HistogramVec // by outcome
-	retries       *prometheus.CounterVec   // by decision
-	longResponses *prometheus.CounterVec   // by outcome
-	connections   prometheus.Counter
-	unlogged      prometheus.Counter // requests without a log line, above maxRequestLogsPerSecond
+	requests             *prometheus.CounterVec   // by outcome
+	attempts             *prometheus.CounterVec   // by outcome
+	duration             *prometheus.HistogramVec // by outcome
+	retries              *prometheus.CounterVec   // by decision
+	longResponses        *prometheus.CounterVec   // by outcome
+	connections          prometheus.Counter
+	unlogged             prometheus.Counter     // requests without a log line, above maxRequestLogsPerSecond
+	selfReportRejections *prometheus.CounterVec // by reason
+	badPauses            prometheus.Counter     // malformed or too long
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -43,12 +47,22 @@
 			Name: "jacinthrack_unlogged_requests_total", Help: "Requests without a log line, since there were too many.",
 		}),
 	}
+	m.selfReportRejections = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "jacinthrack_self_report_rejections_total", Help: "Requests rejected since all servers have asked for a pause or leave.",
+	}, []string{"reason"})
+	m.badPauses = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "jacinthrack_bad_pauses_total", Help: "Responses that ask for a pause that is malformed or too long.",
+	})
 	if r != nil {
-		r.MustRegister(m.requests, m.attempts, m.duration, m.retries, m.longResponses, m.connections, m.unlogged)
+		r.MustRegister(m.selfReportRejections, m.badPauses, m.requests, m.attempts, m.duration, m.retries, m.longResponses, m.connections, m.unlogged)
 	}
 	return m
 }
 
+// selfReportReasons are the values of the label "reason" of the metric of requests that were
+// rejected because of what servers have said about themselves, by the reason of the decision.
+var selfReportReasons = map[string]string{dispatch.ReasonAllPaused: "pause", dispatch.ReasonAllLeaving: "leaving"}
+
 // registerStateMetrics registers the metrics that are read from the state of the gateway.
 func (g *Gateway) registerStateMetrics(r prometheus.Registerer) {
 	if r == nil {
@@ -60,6 +74,12 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		return float64(len(g.dispatcher.LeavingServers()))
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "jacinthrack_servers_paused", Help: "Backend servers that have asked this instance for a pause.",
+	}, func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(len(g.dispatcher.PausedServers(time.Now())))
 	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "jacinthrack_response_buffer_bytes", Help: "Memory of the responses on their way from servers to callers.",
 	}, func() float64 { return float64(g.upstream.BufferedBytes()) }))
