gateway: decide on a request and cap its deadline under one stop plan

An order would then be sent and answered with 504 at the end of the grace period, instead of being rejected as not run. Found by reading; the window is a few microseconds and has no test of its own. Both steps now use the plan that was read once.

--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -137,10 +137,11 @@
 		}
 	}
 	state.deadline = responseDeadline(state, g.dialect)
-	if !g.endsBeforeStop(state) {
+	plan := g.stopPlan.Load()
+	if !g.endsBefore(plan, state) {
 		return drainingProblem()
 	}
-	g.capDeadline(state)
+	plan.capDeadline(state)
 	return nil
 }
 
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -31,7 +31,11 @@
 // before the process ends. The deadline decides for a request that must not run twice, since its
 // caller could not repeat it. An idempotent one needs only be likely to end in time.
 func (g *Gateway) endsBeforeStop(state *requestState) bool {
-	plan := g.stopPlan.Load()
+	return g.endsBefore(g.stopPlan.Load(), state)
+}
+
+// endsBefore is endsBeforeStop for a plan, which is nil if the process does not stop.
+func (g *Gateway) endsBefore(plan *stopPlan, state *requestState) bool {
 	if plan == nil || !state.deadline.After(plan.lastResponseAt) {
 		return true
 	}
@@ -44,10 +48,10 @@
 	return mean > 0 && !time.Now().Add(idempotentStopMargin*mean).After(plan.lastResponseAt)
 }
 
-// capDeadline ends the request before the process does.
-func (g *Gateway) capDeadline(state *requestState) {
-	if plan := g.stopPlan.Load(); plan != nil && plan.lastResponseAt.Before(state.deadline) {
-		state.deadline = plan.lastResponseAt
+// capDeadline makes a request that is taken under the plan end before the process does.
+func (p *stopPlan) capDeadline(state *requestState) {
+	if p != nil && p.lastResponseAt.Before(state.deadline) {
+		state.deadline = p.lastResponseAt
 	}
 }
 
