dispatch: look for the reason of a rejection only where no server is eligible

The reason was looked up for each waiting request without a free server, at each response and every 20 ms, which takes another pass over the servers of the service. It is needed only where none of them is eligible. No decision changes; found by reading.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -63,8 +63,7 @@
 		return Decision{Verdict: VerdictStart, Server: server, Reason: "room"}, nil
 	}
 	if !anyEligible {
-		reason, retryAfter := d.noServer(r, now)
-		return Decision{Verdict: VerdictReject, Reason: reason, RetryAfter: retryAfter}, nil
+		return d.rejectWithoutServer(r, now), nil
 	}
 	w := d.newWaiter(r, now)
 	pool := d.services[r.Service]
@@ -197,9 +196,13 @@
 	for _, w := range order {
 		server, anyEligible := d.chooseServer(w.Request, now)
 		if server == nil {
-			if reason, retryAfter := d.noServer(w.Request, now); !anyEligible && (reason == ReasonAllPaused || reason == ReasonAllLeaving) {
+			if anyEligible {
+				continue
+			}
+			decision := d.rejectWithoutServer(w.Request, now)
+			if decision.Reason == ReasonAllPaused || decision.Reason == ReasonAllLeaving {
 				d.RemoveWaiter(w)
-				assignments = append(assignments, Assignment{Waiter: w, Rejection: Decision{Verdict: VerdictReject, Reason: reason, RetryAfter: retryAfter}})
+				assignments = append(assignments, Assignment{Waiter: w, Rejection: decision})
 			}
 			continue
 		}
--- a/dispatch/selfreport.go
+++ b/dispatch/selfreport.go
@@ -111,24 +111,24 @@
 	return slices.ContainsFunc(p.servers, func(s *Server) bool { return s.resuming })
 }
 
-// noServer returns why no server is eligible for a request, and after which time one is likely to
-// be.
-func (d *Dispatcher) noServer(r *Request, now time.Time) (reason string, retryAfter time.Duration) {
-	reason, retryAfter = "no usable server", minEjection
+// rejectWithoutServer returns the rejection of a request for which no server is eligible, with the
+// time after which one is likely to be.
+func (d *Dispatcher) rejectWithoutServer(r *Request, now time.Time) Decision {
+	decision := Decision{Verdict: VerdictReject, Reason: "no usable server", RetryAfter: minEjection}
 	pool := d.services[r.Service]
 	if pool == nil {
-		return reason, retryAfter
+		return decision
 	}
 	for _, s := range pool.servers {
 		if !s.listedForUse() || !r.allows(s) {
 			continue
 		}
 		switch paused := s.PausedFor(now); {
-		case s.leaving && reason != ReasonAllPaused:
-			reason = ReasonAllLeaving
-		case !s.leaving && paused > 0 && (reason != ReasonAllPaused || paused < retryAfter):
-			reason, retryAfter = ReasonAllPaused, paused
+		case s.leaving && decision.Reason != ReasonAllPaused:
+			decision.Reason = ReasonAllLeaving
+		case !s.leaving && paused > 0 && (decision.Reason != ReasonAllPaused || paused < decision.RetryAfter):
+			decision.Reason, decision.RetryAfter = ReasonAllPaused, paused
 		}
 	}
-	return reason, retryAfter
+	return decision
 }
