gateway: write the check for ended self-reports and the last server once

Two loops logged which ids of a list are no longer in another one, and the last server that was tried was indexed in two places. No behaviour changes; messages and attributes of the log are the same.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -95,11 +95,7 @@
 		return
 	}
 	paused := g.dispatcher.PausedServers(time.Now())
-	for _, id := range g.pausedServers {
-		if _, found := slices.BinarySearch(paused, id); !found {
-			g.log.Info("pause of a server has ended", "server", id)
-		}
-	}
+	g.logAbsent("pause of a server has ended", g.pausedServers, paused)
 	g.pausedServers = paused
 }
 
@@ -109,10 +105,14 @@
 	if len(wasLeaving) == 0 {
 		return
 	}
-	leaving := g.dispatcher.LeavingServers()
-	for _, id := range wasLeaving {
-		if _, found := slices.BinarySearch(leaving, id); !found {
-			g.log.Info("announcement of a server that it leaves no longer holds", "server", id)
+	g.logAbsent("announcement of a server that it leaves no longer holds", wasLeaving, g.dispatcher.LeavingServers())
+}
+
+// logAbsent logs the message for each server of before that is not in now, which is in order.
+func (g *Gateway) logAbsent(message string, before, now []string) {
+	for _, id := range before {
+		if _, found := slices.BinarySearch(now, id); !found {
+			g.log.Info(message, "server", id)
 		}
 	}
 }
@@ -176,7 +176,7 @@
 	if info.BadPause {
 		g.metrics.badPauses.Inc()
 		g.log.Warn("server asked for a pause that is malformed or too long", "request_id", state.requestID,
-			"server", state.triedServers[len(state.triedServers)-1], "used", info.Pause.String())
+			"server", state.lastServer(), "used", info.Pause.String())
 	}
 	if (info.Misdirected || info.NotRun) && serverResponse.RemainingBody != nil {
 		serverResponse.RemainingBody.Close() // nobody reads the rest
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -61,6 +61,9 @@
 	return state.customer.Name
 }
 
+// lastServer returns the id of the server of the last attempt, of which there must be one.
+func (state *requestState) lastServer() string { return state.triedServers[len(state.triedServers)-1] }
+
 // Handle processes a request of a caller and returns the response. It has the type
 // ingress.Handler.
 func (g *Gateway) Handle(ctx context.Context, r *ingress.Request) *ingress.Response {
--- a/gateway/longresponse.go
+++ b/gateway/longresponse.go
@@ -65,7 +65,7 @@
 		return
 	}
 	l.gateway.log.Info("finished a long response", slog.String("request_id", l.state.requestID), slog.String("outcome", outcome),
-		slog.String("server", l.state.triedServers[len(l.state.triedServers)-1]), slog.Int64("bytes", l.bytes), slog.Int64("length", l.length),
+		slog.String("server", l.state.lastServer()), slog.Int64("bytes", l.bytes), slog.Int64("length", l.length),
 		slog.Int64("duration_ms", time.Since(l.state.request.ArrivalTime).Milliseconds()), slog.String("reason", reason))
 }
 
