--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -29,9 +30,12 @@
 	method, path, id string
 	body             []byte
 	deadline         time.Duration // for which the client waits
-	headers          string        // further header lines
+	chunked          bool          // the body is sent in chunks
 }
 
+// chunkBytes is the size of a chunk.
+const chunkBytes = 64 << 10
+
 // answer is what a client got. status is 0 without a whole answer.
 type answer struct {
 	status int
@@ -75,7 +79,11 @@
 func (c *client) write(conn net.Conn, r request) {
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: shop.example\r\n", r.method, r.path)
-	fmt.Fprintf(&head, "%s: %s\r\n%s: %d\r\n%s: key-of-acme\r\n%s", headerNames.RequestID, r.id, headerNames.DeadlineMs, r.deadline.Milliseconds(), headerNames.Credential, r.headers)
+	fmt.Fprintf(&head, "%s: %s\r\n%s: %d\r\n%s: key-of-acme\r\n", headerNames.RequestID, r.id, headerNames.DeadlineMs, r.deadline.Milliseconds(), headerNames.Credential)
+	if r.chunked {
+		writeChunked(conn, head.String(), r.body)
+		return
+	}
 	if r.method != http.MethodGet {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(r.body))
 	}
@@ -88,6 +96,20 @@
 	}
 }
 
+// writeChunked sends a head and a body in chunks.
+func writeChunked(conn net.Conn, head string, body []byte) {
+	out := bufio.NewWriterSize(conn, chunkBytes)
+	_, _ = out.WriteString(head + "Transfer-Encoding: chunked\r\n\r\n")
+	for chunk := range slices.Chunk(body, chunkBytes) {
+		fmt.Fprintf(out, "%x\r\n", len(chunk))
+		_, _ = out.Write(chunk)
+		_, _ = out.WriteString("\r\n")
+	}
+	_, _ = out.WriteString("0\r\n\r\n")
+	// A write error means that the gateway has closed the connection, which the reader sees.
+	_ = out.Flush()
+}
+
 func (c *client) close() {
 	if c.conn != nil {
 		c.conn.Close()
--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -70,15 +70,23 @@
 	cores    int
 	timeoutS float64 // of all routes
 	version  int     // of the configuration
+	maxBody  int     // largest size of the body of a request, in bytes
 }
 
+// defaultMaxBody is the limit in the example of the users' pages.
+const defaultMaxBody = 64 << 20
+
+// contact is the time without disruption after which a machine is in touch, contact_s of the settings
+// and a margin.
+const contact = 3500 * time.Millisecond
+
 // newDeployment starts the store and writes the first configuration.
 func newDeployment(cores int, timeoutS float64) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "jacinthrack-review-")
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, store: &standin.Store{}, cores: cores, timeoutS: timeoutS}
+	d := &deployment{dir: dir, store: &standin.Store{}, cores: cores, timeoutS: timeoutS, maxBody: defaultMaxBody}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -94,7 +102,7 @@
 // writeConfig writes the next version of the configuration.
 func (d *deployment) writeConfig() error {
 	d.version++
-	content, err := render("config.json.tmpl", map[string]any{"Version": d.version, "Timeout": d.timeoutS})
+	content, err := render("config.json.tmpl", map[string]any{"Version": d.version, "Timeout": d.timeoutS, "MaxBody": d.maxBody})
 	if err != nil {
 		return err
 	}
