Review 2: free ports, and bootstrap only at the first start

The stand-ins of the scripts take a free range of ports, and settings of a restarted gateway no longer name a start of the whole system.

--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -71,6 +71,7 @@
 	timeoutS float64 // of all routes
 	version  int     // of the configuration
 	maxBody  int     // largest size of the body of a request, in bytes
+	ports    int     // first port of the gateways
 }
 
 // defaultMaxBody is the limit in the example of the users' pages.
@@ -86,7 +87,11 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, store: &standin.Store{}, cores: cores, timeoutS: timeoutS, maxBody: defaultMaxBody}
+	ports, err := freePorts()
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{ports: ports, dir: dir, store: &standin.Store{}, cores: cores, timeoutS: timeoutS, maxBody: defaultMaxBody}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -117,25 +122,53 @@
 	settings string // path
 	log      string // path
 	frontend string // address for clients
-	ready    string // address for readiness probes
 	command  *exec.Cmd
 	exited   chan struct{}
 }
 
-// Ports on the loopback address of each gateway.
+// Ports on the loopback address of each gateway, from the first port of the deployment. They are the
+// same on all gateways.
 const (
-	frontendPort  = 9010
-	readinessPort = 9011
-	directoryPort = 9012
-	internalPort  = 9020
+	frontendPort  = 0
+	readinessPort = 1
+	directoryPort = 2
+	internalPort  = 3
+	portCount     = 19
 )
 
+// NoFreePortsError reports that no range of portCount ports was free.
+type NoFreePortsError struct{}
+
+func (*NoFreePortsError) Error() string { return "no free range of ports" }
+
+// freePorts returns the first of portCount ports that no other program uses.
+func freePorts() (int, error) {
+	const first, last = 20000, 32000
+	for base := first + os.Getpid()%1000; base < last; base += portCount {
+		if allFree(base) {
+			return base, nil
+		}
+	}
+	return 0, &NoFreePortsError{}
+}
+
+func allFree(base int) bool {
+	for port := base; port < base+portCount; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
+		}
+		listener.Close()
+	}
+	return true
+}
+
 // addGateway starts a gateway in a zone.
 func (d *deployment) addGateway(zone string) (*gatewayProcess, error) {
 	n := len(d.gateways) + 1
 	g := &gatewayProcess{name: fmt.Sprintf("n%d", n), ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, 1+os.Getpid()/128%250, n)}
 	g.settings, g.log = filepath.Join(d.dir, g.name+".json"), filepath.Join(d.dir, g.name+".log")
-	g.frontend, g.ready = fmt.Sprintf("%s:%d", g.ip, frontendPort), fmt.Sprintf("%s:%d", g.ip, readinessPort)
+	g.frontend = fmt.Sprintf("%s:%d", g.ip, d.ports+frontendPort)
 	g.zone = zone
 	if err := d.writeSettings(g, defaultGrace); err != nil {
 		return nil, err
@@ -147,13 +180,14 @@
 // defaultGrace is the time between SIGTERM and SIGKILL in the settings.
 const defaultGrace = 6 * time.Second
 
-// writeSettings writes the settings file of a gateway. It replaces the file at once, so that the
+// writeSettings writes the settings file of a gateway. They name a start of the whole system only for
+// the first process. It replaces the file at once, so that the
 // gateway never reads a part of it.
 func (d *deployment) writeSettings(g *gatewayProcess, grace time.Duration) error {
 	content, err := render("settings.json.tmpl", map[string]any{
-		"Name": g.name, "IP": g.ip, "Zone": g.zone, "Bootstrap": true, "Cores": d.cores, "Store": d.address,
-		"Frontend": frontendPort, "Readiness": readinessPort, "Directory": directoryPort,
-		"Internal": internalPort, "InternalEnd": internalPort + 15, "Grace": grace.Seconds(),
+		"Name": g.name, "IP": g.ip, "Zone": g.zone, "Bootstrap": g.command == nil, "Cores": d.cores, "Store": d.address,
+		"Frontend": d.ports + frontendPort, "Readiness": d.ports + readinessPort, "Directory": d.ports + directoryPort,
+		"Internal": d.ports + internalPort, "InternalEnd": d.ports + portCount - 1, "Grace": grace.Seconds(),
 	})
 	if err != nil {
 		return err
--- a/review/harness-2/grace.go
+++ b/review/harness-2/grace.go
@@ -102,6 +102,9 @@
 	close(stop)
 	clients.Wait()
 	lost = checkLost(r, g, termAt, period)
+	if err := d.writeSettings(g, period); err != nil {
+		return lost, err
+	}
 	return lost, g.start()
 }
 
