upstream: reject responses whose status is none of HTTP

Callers got responses with status 000.

Cause: http.ReadResponse accepts any status of three characters that is a number of at least 0, and upstream passed on what it returned. A status outside 100 to 599 is invalid (RFC 9110, section 15).

A response with such a status is now malformed, like bytes that are not HTTP: the connection is closed, an idempotent request is tried again, any other gets a 502 that does not say that it did not run. What such a response says of itself, for example that the request did not run, does not count either.

Ruled out: the status being changed on the way. In upstream the response has the status that the server sent.

Before: TestResponseWithInvalidStatusIsRejected failed for 000, 001, 099, +20, 600 and 999, each passed on with its body. TestBrokenResponseReachesNoCaller, on the whole path, failed with 'malformed HTTP status code "0"' at the caller. After: both pass.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 )
 
 // conn is a connection to a backend server. It carries one request at a time. Its readLoop
@@ -119,9 +121,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
-			return resp, nil
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		if err := responsecheck.Check(resp); err != nil {
+			return nil, err
 		}
+		return resp, nil
 	}
 	return nil, &TooManyInformationalResponsesError{}
 }
