upstream: a reset during an upload does not complete a response

Callers got a part of a body as a complete response. The server had answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports the failure of a connection to one system call. If a write of the request got the report, the next read returned the end of the stream, which is the end of a body without a length.

The writes of a request now keep their error. When a body without a length ends, the write in progress is ended, and the body is incomplete if a write has failed with anything but EPIPE: the kernel gives that to writes after the server has closed its side, and then the end was the server's.

Ruled out: delivery before the reset arrives.

--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -23,3 +23,8 @@
 	}
 	return nil
 }
+
+// EndsWithConnection reports whether only the end of the connection marks the end of the body.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
--- a/upstream/brokenresponse_test.go
+++ b/upstream/brokenresponse_test.go
@@ -1,8 +1,13 @@
 package upstream
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"net"
 	"net/http"
+	"net/url"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -20,3 +25,101 @@
 		})
 	}
 }
+
+// zeros is a body without an end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// sendUpload sends a POST request whose body does not end.
+func sendUpload(t *testing.T, c *Client, address, id string) (*Response, error) {
+	t.Helper()
+	r := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"X-Id": {id}}, ProtoMajor: 1, ProtoMinor: 1,
+		Body: io.NopCloser(zeros{}), ContentLength: -1,
+	}
+	response, _, err := c.Send(t.Context(), "s", address, r, id, c.NewBuffers())
+	return response, err
+}
+
+// newEarlyServer starts a server that reads the head of each request, sends the text as its
+// response and ends the connection with end.
+func newEarlyServer(t *testing.T, text string, end func(*net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				if _, err := io.WriteString(conn, text); err == nil {
+					end(conn.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a response that ends with its connection and is taken as complete although the
+// connection was reset: the kernel reports a reset once, and the request that is still being sent may
+// get the report.
+func TestResponseResetDuringAnUploadIsNotComplete(t *testing.T) {
+	const rounds = 300 // which of the two gets the report is left to the kernel
+	for name, text := range map[string]string{
+		"without a length":       "\r\npart of the body",
+		"long, without a length": "\r\n" + strings.Repeat("x", BodyBufferBytes+100<<10),
+		"with a length":          "Content-Length: 20\r\n\r\npart of the body",
+		"chunked":                "Transfer-Encoding: chunked\r\n\r\n10\r\npart of the body\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := newEarlyServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"+text, func(conn *net.TCPConn) {
+				_ = conn.SetLinger(0)
+				conn.Close()
+			})
+			client := New("X-Id", nil, DefaultBufferBytes)
+			for round := range rounds {
+				response, err := sendUpload(t, client, address, "1")
+				if err != nil {
+					continue
+				}
+				var rest []byte
+				if response.RemainingBody != nil {
+					rest, err = io.ReadAll(response.RemainingBody)
+					must.NoError(t, response.RemainingBody.Close())
+				}
+				must.Error(t, err, must.Sprintf("round %d: %d bytes taken as complete", round, len(response.Body)+len(rest)))
+			}
+		})
+	}
+}
+
+// newEarlyEndingServer is newEarlyServer with connections that the server ends in order and without
+// reading the rest of the request.
+func newEarlyEndingServer(t *testing.T, text string) string {
+	t.Helper()
+	return newEarlyServer(t, text, func(conn *net.TCPConn) {
+		_ = conn.CloseWrite()
+		<-t.Context().Done()
+	})
+}
+
+// Guards against dropping a response that ended with its connection while the request was still
+// being sent: the server does not want the rest of it.
+func TestCompleteResponseDuringAnUploadIsPassedOn(t *testing.T) {
+	address := newEarlyEndingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of the body")
+	response, err := sendUpload(t, New("X-Id", nil, DefaultBufferBytes), address, "1")
+	must.NoError(t, err)
+	must.Eq(t, "all of the body", string(response.Body))
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -23,7 +23,8 @@
 	socket net.Conn
 	reader *bufio.Reader
 	head   *headLimiter // source of reader
-	echoes bool         // the server has sent a request ID on this connection; used by readLoop only
+	writer requestWriter
+	echoes bool // the server has sent a request ID on this connection; used by readLoop only
 
 	mu                sync.Mutex
 	current           *exchange // request in flight, nil while idle
@@ -87,6 +88,9 @@
 	if err != nil {
 		return nil, false, &MalformedResponseError{Err: err}
 	}
+	if responsecheck.EndsWithConnection(resp) {
+		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, writer: &c.writer}
+	}
 	responseID := resp.Header.Get(c.pool.idHeader)
 	body, complete, err := readBody(resp, x.buffers)
 	if err != nil {
@@ -315,7 +319,7 @@
 // the exchange.
 func (c *conn) writeRequest(r *http.Request) error {
 	_ = c.socket.SetWriteDeadline(time.Time{})
-	err := r.Write(c.socket)
+	err := r.Write(&c.writer)
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.close()
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -192,7 +192,7 @@
 		c.onDial()
 	}
 	head := &headLimiter{source: socket}
-	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, current: x, serverIdleTimeout: defaultIdleTimeout}
+	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, writer: requestWriter{socket: socket}, current: x, serverIdleTimeout: defaultIdleTimeout}
 	go connection.readLoop()
 	return connection, nil
 }
