upstream: reject responses with a space in a field name

A response in whose head a field name holds a space was passed on. With a space before the colon or at the start of the line, the length or coding of the body was not recognized, and callers got a body that was not the server's: its chunk sizes, or what the server sent behind it.

Cause: net/textproto accepts spaces in field names and net/http then does not know them; a line that starts with white space is joined to the value of the line before. Names with a tab inside, a control character or DEL, or without a colon were rejected before, which the test keeps.

The names of a head must now be tokens, also in informational responses. upstream keeps the bytes of a head while it is read, and rejects one with a folded line, as RFC 9112, section 5.2, allows a gateway. The memory that is reserved for large heads includes these bytes.

Before: TestResponseWithInvalidFieldNameIsRejected failed in 9 of 18 cases, TestBrokenResponseReachesNoCaller in the 3 with a space. After: all pass, and TestValidHeadIsAccepted.

--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // InvalidStatusError reports a status that no final response can have.
@@ -14,13 +16,32 @@
 	return fmt.Sprintf("status %03d is not that of a final response", e.Status)
 }
 
-// Check returns an *InvalidStatusError if resp is not a valid final response. net/http accepts
-// any status of three characters that is a number of at least 0, while RFC 9110, section 15,
-// calls all outside 100 to 599 invalid.
+// InvalidFieldNameError reports a header field name that is not a token.
+type InvalidFieldNameError struct{ Name string }
+
+func (e *InvalidFieldNameError) Error() string {
+	return fmt.Sprintf("%q is not a header field name", e.Name)
+}
+
+// Check returns an *InvalidStatusError or an *InvalidFieldNameError if resp is not a valid final
+// response. net/http accepts any status of three characters that is a number of at least 0,
+// while RFC 9110, section 15, calls all outside 100 to 599 invalid.
 func Check(resp *http.Response) error {
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > 599 {
 		return &InvalidStatusError{Status: resp.StatusCode}
 	}
+	return CheckFieldNames(resp.Header)
+}
+
+// CheckFieldNames returns an *InvalidFieldNameError if h holds a name that is not a token. net/http
+// accepts names with spaces but does not know them: the body that follows "Content-Length : 4"
+// ends with the connection.
+func CheckFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidFieldNameError{Name: name}
+		}
+	}
 	return nil
 }
 
--- a/upstream/brokenresponse_test.go
+++ b/upstream/brokenresponse_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -26,6 +27,64 @@
 	}
 }
 
+// Guards against a response in whose head the name of a field holds a space or a control
+// character. Such a line may hide the length of the body or a field of the server, or continue the
+// value of the line before.
+func TestResponseWithInvalidFieldNameIsRejected(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-First: 1\r\n"
+	const end = "\r\nContent-Length: 4\r\n\r\nbody"
+	const chunkedBody = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for name, text := range map[string]string{
+		"space inside":                 start + "X Trace: 1" + end,
+		"space before the colon":       start + "X-Trace : 1" + end,
+		"space at the start":           start + " X-Trace: 1" + end,
+		"tab inside":                   start + "X\tTrace: 1" + end,
+		"tab before the colon":         start + "X-Trace\t: 1" + end,
+		"tab at the start":             start + "\tX-Trace: 1" + end,
+		"name on two lines":            start + "X\r\n Trace: 1" + end,
+		"NUL":                          start + "X-\x00Trace: 1" + end,
+		"control character":            start + "X-\x01Trace: 1" + end,
+		"carriage return":              start + "X-\rTrace: 1" + end,
+		"line feed":                    start + "X-\nTrace: 1" + end,
+		"DEL":                          start + "X-Trace\x7f: 1" + end,
+		"empty":                        start + ": 1" + end,
+		"hides the length":             start + "Content-Length : 4\r\n\r\nbody and more",
+		"hides the length in a fold":   start + " Content-Length: 4\r\n\r\nbody and more",
+		"hides the coding":             start + "Transfer-Encoding : chunked" + chunkedBody,
+		"hides the coding in a fold":   start + "\tTransfer-Encoding: chunked" + chunkedBody,
+		"in an informational response": "HTTP/1.1 103 Early Hints\r\nX Trace: 1\r\n\r\n" + start + "X-Last: 1" + end,
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := newClosingServer(t, text)
+			r, sent, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), address, http.MethodGet, "1")
+			must.True(t, sent)
+			var malformed *MalformedResponseError
+			must.True(t, errors.As(err, &malformed), must.Sprintf("response %+v, error %v", r, err))
+		})
+	}
+}
+
+// Guards against rejecting a valid response because of bytes behind its head, or of how many reads
+// the head takes.
+func TestValidHeadIsAccepted(t *testing.T) {
+	const body = "\n indented\n\ttwice\n"
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	end := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	for name, text := range map[string]string{
+		"short":                        head + end,
+		"larger than the read buffer":  head + strings.Repeat("X-More: 1\r\n", readBufferBytes) + end,
+		"late response to another one": "HTTP/1.1 200 OK\r\nX-Id: 0\r\n" + end + head + end,
+		"informational response":       "HTTP/1.1 103 Early Hints\r\n\r\n" + head + end,
+		"LF only":                      strings.ReplaceAll(head+end, "\r", ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _, err := send(t.Context(), New("X-Id", nil, DefaultBufferBytes), newClosingServer(t, text), http.MethodGet, "1")
+			must.NoError(t, err)
+			must.Eq(t, body, string(r.Body))
+		})
+	}
+}
+
 // zeros is a body without an end.
 type zeros struct{}
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,7 +22,7 @@
 	pool   *pool
 	socket net.Conn
 	reader *bufio.Reader
-	head   *headLimiter // source of reader
+	head   *headReader // source of reader
 	writer requestWriter
 	echoes bool // the server has sent a request ID on this connection; used by readLoop only
 
@@ -119,23 +119,35 @@
 // trouble may send either without end, so that both are limited.
 func (c *conn) readHead(x *exchange) (*http.Response, error) {
 	for range maxInformationalResponses + 1 {
-		c.head.limit(maxResponseHeadBytes, x.buffers)
-		resp, err := http.ReadResponse(c.reader, x.request)
-		c.head.unlimit()
+		resp, err := c.readOneHead(x)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
+			return resp, responsecheck.Check(resp)
 		}
-		if err := responsecheck.Check(resp); err != nil {
+		if err := responsecheck.CheckFieldNames(resp.Header); err != nil {
 			return nil, err
 		}
-		return resp, nil
 	}
 	return nil, &TooManyInformationalResponsesError{}
 }
 
+// readOneHead reads the head of a response, which may be informational.
+func (c *conn) readOneHead(x *exchange) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head.begin(buffered, x.buffers)
+	resp, err := http.ReadResponse(c.reader, x.request)
+	head := c.head.end(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	return resp, checkFolding(head)
+}
+
 // readBody reads a body of up to BodyBufferBytes bytes. Of a longer body, and of one for which no
 // buffer is free, it reads only the start; complete is then false.
 func readBody(resp *http.Response, buffers *Buffers) (body []byte, complete bool, err error) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -191,7 +191,7 @@
 	if c.onDial != nil {
 		c.onDial()
 	}
-	head := &headLimiter{source: socket}
+	head := &headReader{source: socket}
 	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, writer: requestWriter{socket: socket}, current: x, serverIdleTimeout: defaultIdleTimeout}
 	go connection.readLoop()
 	return connection, nil
