forward: reject responses with invalid heads

A response with status 000 or 099 made the handler panic: the caller's connection was closed without an answer, and a stored response with such a status would have done so at each repetition. A 600, an unasked 101 and a space in a field name were passed on.

It now checks the head of each response. Such an attempt has failed, the server may have run it, and an idempotent request moves to another server.

What forward did before: responses without a length are rejected, so that a length or coding that is hidden by a space, and a reset during an upload, were no fault here; control characters are rejected by net/http. The error type for them moves to responsecheck. A response to HEAD without a length, which has no body, is no longer rejected.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 	"github.com/jacinthrack/jacinthrack/problem"
 	"github.com/jacinthrack/jacinthrack/retry"
 )
@@ -159,14 +160,18 @@
 // which callers must not see.
 func describeForCaller(err error) string {
 	var (
-		mismatch    *ResponseMismatchError
-		undelimited *UndelimitedResponseError
+		mismatch      *ResponseMismatchError
+		undelimited   *responsecheck.UndelimitedResponseError
+		invalidStatus *responsecheck.InvalidStatusError
+		invalidName   *responsecheck.InvalidFieldNameError
 	)
 	switch {
 	case errors.As(err, &mismatch):
 		return "the response belongs to another request"
 	case errors.As(err, &undelimited):
 		return undelimited.Error()
+	case errors.As(err, &invalidStatus), errors.As(err, &invalidName):
+		return "the response head is invalid"
 	case isTimeout(err):
 		return "timeout"
 	default:
--- a/forward/transport.go
+++ b/forward/transport.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 )
 
 // Connection limits.
@@ -112,14 +113,6 @@
 	return fmt.Sprintf("response has request ID %s instead of %s", e.Got, e.Want)
 }
 
-// UndelimitedResponseError reports a response that ends with its connection, so that a
-// complete response cannot be distinguished from a truncated one.
-type UndelimitedResponseError struct{}
-
-func (e *UndelimitedResponseError) Error() string {
-	return "the response has neither a length nor chunked encoding"
-}
-
 // send sends the attempt and returns its response after the header has arrived. maybeSent
 // reports whether bytes may have reached the server.
 func (t *Transport) send(ctx context.Context, a attempt) (resp *http.Response, maybeSent bool, err error) {
@@ -184,15 +177,15 @@
 	header.Set(HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
 }
 
-// checkResponse checks that the response belongs to the request and that its end can be
-// detected.
+// checkResponse checks that the head of the response is valid, that the response belongs to the
+// request and that its end can be detected.
 func checkResponse(resp *http.Response, requestID string) error {
+	if err := responsecheck.Check(resp); err != nil {
+		return err
+	}
 	responseID := resp.Header.Get(HeaderRequestID)
 	if responseID != "" && responseID != requestID {
 		return &ResponseMismatchError{Want: requestID, Got: responseID}
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return &UndelimitedResponseError{}
-	}
-	return nil
+	return responsecheck.CheckDelimited(resp)
 }
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -45,6 +45,23 @@
 	return nil
 }
 
+// UndelimitedResponseError reports a response that ends with its connection, so that a
+// complete response cannot be distinguished from a truncated one.
+type UndelimitedResponseError struct{}
+
+func (e *UndelimitedResponseError) Error() string {
+	return "the response has neither a length nor chunked encoding"
+}
+
+// CheckDelimited returns an *UndelimitedResponseError if only the end of the connection marks the end
+// of the body.
+func CheckDelimited(resp *http.Response) error {
+	if EndsWithConnection(resp) {
+		return &UndelimitedResponseError{}
+	}
+	return nil
+}
+
 // EndsWithConnection reports whether only the end of the connection marks the end of the body.
 func EndsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
