balancer: a probe with an invalid response has failed

A server that answered its health probes with status 000 or 099, with an unasked 101 or with a space in a field name counted as healthy.

Cause: the probe took each status below 300 for health, and the head was not checked. It is now; nothing that a response with an invalid head says of the server counts, its announcement to close the connection included.

Before: TestProbeWithInvalidHeadFails failed in 6 of 10 cases. After: it passes, 20 times in a row.

--- a/balancer/probe.go
+++ b/balancer/probe.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 	"github.com/jacinthrack/jacinthrack/serverstate"
 )
 
@@ -132,8 +133,11 @@
 	case err == nil:
 		_, _ = io.CopyN(io.Discard, resp.Body, maxProbeBodyBytes)
 		resp.Body.Close()
-		event.Healthy = resp.StatusCode < http.StatusMultipleChoices
-		event.ConnectionClose = resp.Close
+		// Nothing that a response with an invalid head says of the server counts.
+		if responsecheck.Check(resp) == nil {
+			event.Healthy = resp.StatusCode < http.StatusMultipleChoices
+			event.ConnectionClose = resp.Close
+		}
 	}
 	p.balancer.observe(event)
 }
