tablestore/httpclient: reject broken responses of the platform

A write counted as applied after a response with status 000 or 099, an unasked 101 or a space in a field name; an object was read from it, or from one whose end is not marked and that may have been cut.

Cause: do took each status below 300 for success, and the head was not checked. Such a response now leaves the outcome of a write unknown, and a read fails as if the platform were unavailable.

responsecheck.CheckDelimited now includes Check, so that forward and this client make one call. It goes by http.Response.Close, which net/http sets for a body that ends with its connection.

--- a/forward/transport.go
+++ b/forward/transport.go
@@ -177,15 +177,15 @@
 	header.Set(HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
 }
 
-// checkResponse checks that the head of the response is valid, that the response belongs to the
-// request and that its end can be detected.
+// checkResponse checks that the head of the response is valid, that its end can be detected and that
+// it belongs to the request.
 func checkResponse(resp *http.Response, requestID string) error {
-	if err := responsecheck.Check(resp); err != nil {
+	if err := responsecheck.CheckDelimited(resp); err != nil {
 		return err
 	}
 	responseID := resp.Header.Get(HeaderRequestID)
 	if responseID != "" && responseID != requestID {
 		return &ResponseMismatchError{Want: requestID, Got: responseID}
 	}
-	return responsecheck.CheckDelimited(resp)
+	return nil
 }
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -53,16 +53,20 @@
 	return "the response has neither a length nor chunked encoding"
 }
 
-// CheckDelimited returns an *UndelimitedResponseError if only the end of the connection marks the end
-// of the body.
+// CheckDelimited returns the errors of Check, and an *UndelimitedResponseError if only the end of the
+// connection marks the end of the body.
 func CheckDelimited(resp *http.Response) error {
+	if err := Check(resp); err != nil {
+		return err
+	}
 	if EndsWithConnection(resp) {
 		return &UndelimitedResponseError{}
 	}
 	return nil
 }
 
-// EndsWithConnection reports whether only the end of the connection marks the end of the body.
+// EndsWithConnection reports whether only the end of the connection marks the end of the body. It
+// does not in a compressed body that net/http has decoded, which marks its own end.
 func EndsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	return resp.Close && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody && !resp.Uncompressed
 }
--- a/tablestore/httpclient/httpclient.go
+++ b/tablestore/httpclient/httpclient.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 	"github.com/jacinthrack/jacinthrack/kernel"
 	"github.com/jacinthrack/jacinthrack/tablestore"
 	"github.com/jacinthrack/jacinthrack/tablestore/httpapi"
@@ -180,6 +181,9 @@
 		return nil, info.callError(err, !isDialError(err))
 	}
 	defer resp.Body.Close()
+	if err := responsecheck.CheckDelimited(resp); err != nil {
+		return nil, info.callError(err, true)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, httpapi.MaxBodyBytes+1))
 	if err != nil {
 		return nil, info.callError(err, true)
--- a/tablestore/httpclient/httpclient_test.go
+++ b/tablestore/httpclient/httpclient_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck/responsetest"
 	"github.com/jacinthrack/jacinthrack/tablestore"
 	"github.com/jacinthrack/jacinthrack/tablestore/httpserver"
 	"github.com/jacinthrack/jacinthrack/tablestore/memory"
@@ -81,3 +82,24 @@
 		})
 	}
 }
+
+// Guards against a write that counts as applied, and against data that is returned, although the
+// response is broken.
+func TestBrokenResponseIsAnError(t *testing.T) {
+	broken := responsetest.WithInvalidHeads("{}")
+	broken["end not marked"] = "HTTP/1.1 200 OK\r\n\r\n{}"
+	for name, text := range broken {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(responsetest.Handler(text))
+			defer server.Close()
+			client := New(server.URL)
+			err := client.Put(t.Context(), "object", []byte("data"))
+			must.True(t, tablestore.IsOutcomeUnknown(err), must.Sprintf("put: error %v", err))
+			_, err = client.Transact(t.Context(), "change-1", []tablestore.Write{{Key: "a"}})
+			must.True(t, tablestore.IsOutcomeUnknown(err), must.Sprintf("transact: error %v", err))
+			data, err := client.Get(t.Context(), "object")
+			var unavailable *tablestore.UnavailableError
+			must.True(t, errors.As(err, &unavailable), must.Sprintf("get: %q, error %v", data, err))
+		})
+	}
+}
