operatorapi: reject responses with invalid heads

A change of the configuration counted as accepted after a response with status 000 or 099 or with a space in a field name; a 600 became a problem document without a type. A JSON body that was cut does not decode, and was no fault here.

Cause: call took each status below 300 for success, and the head was not checked. It is now, and the call fails with a TransportError.

Before: TestResponseWithInvalidHeadIsATransportError failed in 6 of 10 cases. After: it passes.

--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/config"
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 	"github.com/jacinthrack/jacinthrack/problem"
 )
 
@@ -138,6 +139,9 @@
 		return &TransportError{Err: err}
 	}
 	defer httpResp.Body.Close()
+	if err := responsecheck.Check(httpResp); err != nil {
+		return &TransportError{Err: err}
+	}
 	if httpResp.StatusCode >= http.StatusMultipleChoices {
 		return decodeProblem(httpResp)
 	}
