caller: reject broken responses

Do returned responses with status 000, 099, 600 or an unasked 101, with a space in a field name, and a body whose end is not marked, which may be a part of one. A look-up took the instances from a response with a space in a field name.

Cause: the client used what net/http accepts without a check. Entry instances mark the end of every body, so that one without such a mark is broken. Such an attempt has failed now, and the request may have run.

Before: TestResponseWithInvalidHeadIsNotReturned failed in 7 of 10 cases, TestResponseThatEndsWithItsConnectionIsNotReturned failed. After: both pass.

--- a/caller/lookup.go
+++ b/caller/lookup.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 	"github.com/jacinthrack/jacinthrack/lookup"
 )
 
@@ -164,6 +165,9 @@
 		return cachedLookup{}, &TransportError{Instance: address, Err: err}
 	}
 	defer resp.Body.Close()
+	if err := responsecheck.CheckDelimited(resp); err != nil {
+		return cachedLookup{}, &TransportError{Instance: address, MaybeSent: true, Err: err}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLookupAnswerBytes))
 	if err != nil {
 		return cachedLookup{}, &TransportError{Instance: address, MaybeSent: true, Err: err}
--- a/caller/request.go
+++ b/caller/request.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 	"github.com/jacinthrack/jacinthrack/lookup"
 	"github.com/jacinthrack/jacinthrack/problem"
 )
@@ -158,6 +159,9 @@
 		return nil, transportFailure(to.Name, err)
 	}
 	defer resp.Body.Close()
+	if err := responsecheck.CheckDelimited(resp); err != nil {
+		return nil, &attemptFailure{ran: problem.MayHaveRun, err: &TransportError{Instance: to.Name, MaybeSent: true, Err: err}}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxAnswerBytes+1))
 	if err != nil {
 		return nil, &attemptFailure{ran: problem.MayHaveRun, err: &TransportError{Instance: to.Name, MaybeSent: true, Err: err}}
--- a/caller/socket_test.go
+++ b/caller/socket_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck/responsetest"
 	"github.com/jacinthrack/jacinthrack/lookup"
 	"github.com/jacinthrack/jacinthrack/problem"
 )
@@ -142,3 +143,34 @@
 		must.True(t, errors.As(err, new(*OptionsError)))
 	}
 }
+
+// Guards against returning a response whose head is invalid, in answer to a request or a look-up.
+func TestResponseWithInvalidHeadIsNotReturned(t *testing.T) {
+	for name, text := range responsetest.WithInvalidHeads(`{"instances":[{"name":"a","address":"127.0.0.1:9"}]}`) {
+		t.Run(name, func(t *testing.T) {
+			broken, _ := newStubInstance(t, responsetest.Handler(text))
+			sound, _ := newStubInstance(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "sound") })
+			seed, _ := newStubInstance(t, lookupHandler(broken, sound))
+			client := newTestClient(t, nil, broken, seed)
+			defer client.Close()
+			resp, err := client.Do(t.Context(), &Request{Route: "r"})
+			must.NoError(t, err)
+			must.EqOp(t, "sound", string(resp.Body))
+			must.Len(t, 1, resp.Attempts)
+			must.EqOp(t, problem.MayHaveRun, resp.Attempts[0].Ran)
+		})
+	}
+}
+
+// Guards against returning a part of a body as the whole one: a body that ends with its connection may
+// have been cut.
+func TestResponseThatEndsWithItsConnectionIsNotReturned(t *testing.T) {
+	undelimited, _ := newStubInstance(t, responsetest.Handler("HTTP/1.1 200 OK\r\n\r\npart"))
+	sound, _ := newStubInstance(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "sound") })
+	seed, _ := newStubInstance(t, lookupHandler(undelimited, sound))
+	client := newTestClient(t, nil, seed)
+	defer client.Close()
+	resp, err := client.Do(t.Context(), &Request{Route: "r", Method: http.MethodPost, Body: []byte("order")})
+	must.NoError(t, err)
+	must.EqOp(t, "sound", string(resp.Body))
+}
