bench: a control call with an invalid response has failed

A call of the stand-in's control API counted as successful after a response with status 000 or 099, an unasked 101 or a space in a field name.

Cause: each status below 400 counted as success, and the head was not checked.

--- a/bench/send.go
+++ b/bench/send.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/jacinthrack/jacinthrack/caller"
+	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 	"github.com/jacinthrack/jacinthrack/internal/standin/backend"
 	"github.com/jacinthrack/jacinthrack/lookup"
 	"github.com/jacinthrack/jacinthrack/problem"
@@ -156,6 +157,9 @@
 		return 0, nil, fmt.Errorf("%s %s: %w", method, target, err)
 	}
 	defer resp.Body.Close()
+	if err := responsecheck.Check(resp); err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, target, err)
+	}
 	responseBody, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return 0, nil, fmt.Errorf("%s %s: %w", method, target, err)
