KNOWN-RED: a long response that starts during an upload is broken off

Found beside the reset during an upload: roundTrip closes the connection when the start of the response is there and the upload is not, and the rest of a response of more than 1 MiB is lost. Its caller sees that it is incomplete.

--- a/upstream/brokenresponse_test.go
+++ b/upstream/brokenresponse_test.go
@@ -182,3 +182,16 @@
 	must.NoError(t, err)
 	must.Eq(t, "all of the body", string(response.Body))
 }
+
+// Guards against breaking off a response that is too long to be buffered because the request was
+// still being sent when it started.
+func TestLongResponseDuringAnUploadIsPassedOn(t *testing.T) {
+	body := strings.Repeat("x", BodyBufferBytes+100<<10)
+	address := newEarlyEndingServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	response, err := sendUpload(t, New("X-Id", nil, DefaultBufferBytes), address, "1")
+	must.NoError(t, err)
+	rest, err := io.ReadAll(response.RemainingBody)
+	must.NoError(t, err)
+	must.NoError(t, response.RemainingBody.Close())
+	must.Eq(t, len(body), len(response.Body)+len(rest))
+}
