upstream: look for folded lines without keeping the head

The bytes of each head were copied into a buffer that its connection kept.

The bytes are now scanned as they are read, and nothing is kept.

TestFoldedLineIsFoundInAnyPieces splits heads at every two places; the tests of the fault pass as before.

--- a/upstream/buffer.go
+++ b/upstream/buffer.go
@@ -9,9 +9,9 @@
 const (
 	unreservedBodyBytes = 16 << 10
 	unreservedHeadBytes = 16 << 10
-	// headMemoryFactor is the memory that a head of short lines takes, as a multiple of its size:
-	// 3 when it is parsed, and up to 2 for its bytes.
-	headMemoryFactor = 5
+	// headMemoryFactor is the memory that a parsed head of short lines takes, as a multiple of
+	// its size.
+	headMemoryFactor = 3
 )
 
 // DefaultBufferBytes is the memory for buffered responses if the caller sets none.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -141,11 +141,11 @@
 	}
 	c.head.begin(buffered, x.buffers)
 	resp, err := http.ReadResponse(c.reader, x.request)
-	head := c.head.end(c.reader.Buffered())
+	folded := c.head.end()
 	if err != nil {
 		return nil, err
 	}
-	return resp, checkFolding(head)
+	return resp, folded
 }
 
 // readBody reads a body of up to BodyBufferBytes bytes. Of a longer body, and of one for which no
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -45,53 +45,79 @@
 
 func (*FoldedFieldError) Error() string { return "a line of the response head starts with white space" }
 
-// headReader reads from a connection. While the head of a response is read, it limits and keeps the
-// bytes. The buffer in front of it may hold a part of the body when the head is complete, so that the
-// limit is exact only to the size of that buffer.
+// headReader reads from a connection. While the head of a response is read, it limits the bytes and
+// looks for folded lines. The buffer in front of it may hold a part of the body when the head is
+// complete, so that the limit is exact only to the size of that buffer.
 type headReader struct {
 	source  io.Reader
-	reading bool   // a head is being read
-	raw     []byte // read since the start of the head
+	reading bool // a head is being read
+	left    int  // bytes that may still be read for it
+	read    int  // bytes read for it
 	buffers *Buffers
+	lines   lineScanner
 }
 
-// begin starts the head of a response. buffered are its bytes that have already been read.
+// begin starts the head of a response. buffered are the bytes that have already been read.
 func (h *headReader) begin(buffered []byte, buffers *Buffers) {
-	h.reading, h.buffers = true, buffers
-	h.raw = append(h.raw[:0], buffered...)
+	h.reading, h.left, h.read, h.buffers = true, maxResponseHeadBytes, 0, buffers
+	h.lines = lineScanner{}
+	h.lines.scan(buffered)
 }
 
-// end ends the head and returns its bytes, which are valid until the next head begins. unread is the
-// number of bytes that were read after it.
-func (h *headReader) end(unread int) []byte {
+// end ends the head and returns a *FoldedFieldError if a line of it was folded.
+func (h *headReader) end() error {
 	h.reading = false
-	head := h.raw[:len(h.raw)-unread]
-	if cap(h.raw) > readBufferBytes {
-		h.raw = nil // not kept while the connection is idle
+	if h.lines.folded {
+		return &FoldedFieldError{}
 	}
-	return head
+	return nil
 }
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.reading && len(h.raw) >= maxResponseHeadBytes {
+	if h.reading && h.left <= 0 {
 		return 0, &ResponseHeadTooLargeError{}
 	}
 	n, err := h.source.Read(p)
 	if !h.reading {
 		return n, err
 	}
-	h.raw = append(h.raw, p[:n]...)
-	if len(h.raw) > unreservedHeadBytes && !h.buffers.reserve(int64(headMemoryFactor*n)) {
+	h.lines.scan(p[:n])
+	h.left -= n
+	h.read += n
+	if h.read > unreservedHeadBytes && !h.buffers.reserve(int64(headMemoryFactor*n)) {
 		return 0, &NoBufferError{}
 	}
 	return n, err
 }
 
-// checkFolding returns a *FoldedFieldError if a line of a head is folded.
-func checkFolding(head []byte) error {
-	if bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t")) {
-		return &FoldedFieldError{}
+// lineScanner looks for folded lines in a head that it gets in pieces, and stops at its end.
+type lineScanner struct {
+	lineStart bool // the next byte is the first one of a line, or follows a CR that is
+	ended     bool
+	folded    bool
+}
+
+// scan takes the next bytes of the response.
+func (s *lineScanner) scan(p []byte) {
+	for !s.ended && len(p) > 0 {
+		if s.lineStart {
+			if p[0] == '\r' {
+				p = p[1:]
+				continue
+			}
+			s.lineStart = false
+			s.folded = s.folded || p[0] == ' ' || p[0] == '\t'
+			if p[0] == '\n' {
+				s.ended = true
+				return
+			}
+		}
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			return
+		}
+		s.lineStart = true
+		p = p[end+1:]
 	}
-	return nil
 }
