--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -120,12 +120,13 @@
 // returning a truncated response or the response to another request.
 func TestIdempotentRequestMovesToAnotherServer(t *testing.T) {
 	broken := map[string]http.HandlerFunc{
-		"reset":       closeAfterRead,
-		"truncated":   responsetest.Handler("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort"),
-		"undelimited": responsetest.Handler("HTTP/1.1 200 OK\r\n\r\nno end"),
-		"chunk cut":   responsetest.Handler("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"),
-		"crossed":     responsetest.Handler("HTTP/1.1 200 OK\r\nJacinthrack-Request-Id: other\r\nContent-Length: 2\r\n\r\nno"),
-		"shed":        responsetest.Handler("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+		"reset":                   closeAfterRead,
+		"truncated":               responsetest.Handler("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort"),
+		"undelimited":             responsetest.Handler("HTTP/1.1 200 OK\r\n\r\nno end"),
+		"coding in a folded line": responsetest.Handler("HTTP/1.1 200 OK\r\nX-First: 1\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+		"chunk cut":               responsetest.Handler("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"),
+		"crossed":                 responsetest.Handler("HTTP/1.1 200 OK\r\nJacinthrack-Request-Id: other\r\nContent-Length: 2\r\n\r\nno"),
+		"shed":                    responsetest.Handler("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
 	}
 	for name, handler := range broken {
 		t.Run(name, func(t *testing.T) {
