--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -1,5 +1,5 @@
 // Package responsecheck rejects HTTP responses that net/http accepts although their heads are
-// invalid.
+// invalid or nothing marks the end of their bodies.
 package responsecheck
 
 import (
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -51,7 +51,6 @@
 type headReader struct {
 	source  io.Reader
 	reading bool // a head is being read
-	left    int  // bytes that may still be read for it
 	read    int  // bytes read for it
 	buffers *Buffers
 	lines   lineScanner
@@ -59,7 +58,7 @@
 
 // begin starts the head of a response. buffered are the bytes that have already been read.
 func (h *headReader) begin(buffered []byte, buffers *Buffers) {
-	h.reading, h.left, h.read, h.buffers = true, maxResponseHeadBytes, 0, buffers
+	h.reading, h.read, h.buffers = true, 0, buffers
 	h.lines = lineScanner{}
 	h.lines.scan(buffered)
 }
@@ -75,7 +74,7 @@
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.reading && h.left <= 0 {
+	if h.reading && h.read >= maxResponseHeadBytes {
 		return 0, &ResponseHeadTooLargeError{}
 	}
 	n, err := h.source.Read(p)
@@ -83,7 +82,6 @@
 		return n, err
 	}
 	h.lines.scan(p[:n])
-	h.left -= n
 	h.read += n
 	if h.read > unreservedHeadBytes && !h.buffers.reserve(int64(headMemoryFactor*n)) {
 		return 0, &NoBufferError{}
