--- a/routes/routes.go
+++ b/routes/routes.go
@@ -94,6 +94,8 @@
 	// Incarnation identifies the process that runs under the server's ID. It changes when
 	// the server restarts.
 	Incarnation int64
+	// RecordSequence increases with the records that this process writes about itself.
+	RecordSequence int64
 	LastSeen    time.Time // when the record was last seen
 }
 
