gateway: a configuration that other instances have replaced is not confirmed

What callers would see: an instance that starts right after the store has returned from a copy accepts keys that were withdrawn before, until the operator has written again.

Cause: such an instance knows nothing but the copy, and confirmed its configuration by reading it again. The digests of the other instances show that they have a newer one, but this only made it read the store once more.

Change: the version that another instance announced is remembered. Reads of an older one from before the announcement confirm nothing; a later read shows that the store has lost the newer one, and also withdraws the earlier confirmation, so that requests with a key are rejected as not run.

Evidence: TestConfigurationThatOthersHaveReplacedIsNotConfirmed fails where the announcement is ignored, as it was. Until the first digest, within about a second of the start, such an instance still takes the copy for the newest state: open.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,8 +55,9 @@
 	ConfigVersion() int64
 	// ConfirmConfig records that the configuration in force was the newest one at an instant.
 	ConfirmConfig(at boottime.Instant)
-	// ConfigOutdated is called when another instance has a newer configuration.
-	ConfigOutdated()
+	// ConfigOutdated is called when another instance has a newer configuration, of the given
+	// version.
+	ConfigOutdated(version int64)
 	// Lend takes up to the given number of a customer's quota tokens for another instance.
 	// It returns the tokens lent and the tokens that remain here.
 	Lend(customer string, tokens float64) (lent, remaining float64)
@@ -290,7 +291,7 @@
 	version := v.dataPath.ConfigVersion()
 	switch peerVersion := int64(d.GetConfig().GetGeneration()); {
 	case peerVersion > version:
-		v.dataPath.ConfigOutdated()
+		v.dataPath.ConfigOutdated(peerVersion)
 	case peerVersion == version && version > 0:
 		v.mu.Lock()
 		sentAt := v.digestSentAt[d.GetSender().GetName()]
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,13 +17,14 @@
 
 // fakeDataPath implements DataPath and records the calls of ConfirmConfig and ConfigOutdated.
 type fakeDataPath struct {
-	age           time.Duration
-	version       int64
-	confirmed     []boottime.Instant
-	outdatedCalls int
-	ready         bool
-	demands       []dispatch.RateDemand
-	mergedDemands []mergedDemand
+	age              time.Duration
+	version          int64
+	confirmed        []boottime.Instant
+	outdatedCalls    int
+	announcedVersion int64 // by the last one
+	ready            bool
+	demands          []dispatch.RateDemand
+	mergedDemands    []mergedDemand
 	// nextVersion is a version that comes into force, with the age 0, right after the next call
 	// of ConfigAge or ConfigVersion; 0 for none.
 	nextVersion int64
@@ -52,8 +53,10 @@
 	return version
 }
 func (f *fakeDataPath) ConfirmConfig(at boottime.Instant) { f.confirmed = append(f.confirmed, at) }
-func (f *fakeDataPath) ConfigOutdated()                   { f.outdatedCalls++ }
-func (f *fakeDataPath) Ready() bool                       { return f.ready }
+func (f *fakeDataPath) ConfigOutdated(version int64) {
+	f.outdatedCalls, f.announcedVersion = f.outdatedCalls+1, version
+}
+func (f *fakeDataPath) Ready() bool { return f.ready }
 func (f *fakeDataPath) Lend(_ string, tokens float64) (float64, float64) {
 	return min(tokens, 0.25), 0.5
 }
@@ -130,6 +133,7 @@
 	reply(testDigest("1", "z1", 8, 0, false))
 	must.SliceEmpty(t, f.confirmed)
 	must.Eq(t, 1, f.outdatedCalls)
+	must.Eq(t, 8, f.announcedVersion)
 	reply(testDigest("1", "z1", 7, 2*time.Second, false))
 	must.Len(t, 1, f.confirmed)
 	must.LessEq(t, boottime.Now().Add(-2*time.Second), f.confirmed[0])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,6 +124,12 @@
 	stopPlanned       chan struct{} // closed when stopPlan is set
 	configConfirmedAt atomic.Int64  // boottime.Instant at which the configuration was the newest one; 0 for never
 
+	announcementMu sync.Mutex // guards the fields below, and changes of configConfirmedAt
+	// announcedVersion is the highest version of a configuration that another instance is known
+	// to have, and announcedAt when this became known.
+	announcedVersion int64
+	announcedAt      boottime.Instant
+
 	mu             sync.Mutex // guards the fields below, except stop
 	policy         Policy
 	dispatcher     *dispatch.Dispatcher
@@ -315,14 +321,32 @@
 	g.upstream.ClosePoolsExcept(func(server, address string) bool { return addressByID[server] == address })
 }
 
+// AnnounceConfig records that another instance has a configuration of a version.
+func (g *Gateway) AnnounceConfig(version int64) {
+	g.announcementMu.Lock()
+	defer g.announcementMu.Unlock()
+	if version > g.announcedVersion {
+		g.announcedVersion, g.announcedAt = version, boottime.Now()
+	}
+}
+
 // ConfirmConfig records that the configuration in force was the newest one at an instant. Older
-// instants than the latest confirmation are ignored.
+// instants than the latest confirmation are ignored. If another instance has a newer configuration,
+// nothing is confirmed; if that was known before the instant, the source of the configurations has
+// lost the newer one, and earlier confirmations do not hold either.
 func (g *Gateway) ConfirmConfig(at boottime.Instant) {
-	for {
-		latest := g.configConfirmedAt.Load()
-		if int64(at) <= latest || g.configConfirmedAt.CompareAndSwap(latest, int64(at)) {
-			return
+	g.announcementMu.Lock()
+	defer g.announcementMu.Unlock()
+	latest := boottime.Instant(g.configConfirmedAt.Load())
+	if version := g.ConfigVersion(); version < g.announcedVersion {
+		if at > g.announcedAt && latest != 0 {
+			g.log.Warn("another instance has a newer configuration than the store, the one in force is no longer confirmed", "in_force", version, "announced", g.announcedVersion)
+			g.configConfirmedAt.Store(0)
 		}
+		return
+	}
+	if at > latest {
+		g.configConfirmedAt.Store(int64(at))
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -108,6 +108,24 @@
 	must.Less(t, 30*time.Second, g.ConfigAge())
 }
 
+// Guards against withdrawn keys at an instance that starts after the store has returned from an older
+// copy, and reads a configuration from it that the other instances have replaced.
+func TestConfigurationThatOthersHaveReplacedIsNotConfirmed(t *testing.T) {
+	g := newGateway(t) // with configuration 5
+	status := func() int { return handleRequest(t.Context(), g, "/x", "nobody").Status }
+	g.ConfirmConfig(ago(0))
+	g.AnnounceConfig(5)
+	g.ConfirmConfig(ago(0))
+	g.AnnounceConfig(7)
+	g.ConfirmConfig(ago(time.Second))
+	must.Eq(t, http.StatusUnauthorized, status(), must.Sprint("the store was read before the announcement"))
+	g.ConfirmConfig(ago(0))
+	must.Eq(t, http.StatusServiceUnavailable, status())
+	must.True(t, g.SetConfig(testConfig(7)))
+	g.ConfirmConfig(ago(0))
+	must.Eq(t, http.StatusUnauthorized, status())
+}
+
 // Requests that arrive at the very end of a shutdown must be rejected with a status that lets the
 // caller retry at another instance.
 func TestRejectsRequestsAtTheEndOfShutdown(t *testing.T) {
--- a/gateway/largefleet_test.go
+++ b/gateway/largefleet_test.go
@@ -23,8 +23,8 @@
 	view *fleet.View
 }
 
-func (*testInstance) ConfigOutdated() {}
-func (*testInstance) Ready() bool     { return true }
+func (*testInstance) ConfigOutdated(int64) {}
+func (*testInstance) Ready() bool          { return true }
 
 // instancesByAddress holds instances by peer address. It implements fleet.TokenBorrower.
 type instancesByAddress map[string]*testInstance
