--- a/cmd/jacinthrack-soak/main.go
+++ b/cmd/jacinthrack-soak/main.go
@@ -46,6 +46,7 @@
 	flags.IntVar(&o.Instances, "instances", 5, "gateway processes, 200 at most")
 	flags.IntVar(&o.Servers, "servers", 6, "backend servers, 40 at most")
 	flags.IntVar(&o.Callers, "callers", 10, "concurrent callers")
+	flags.BoolVar(&o.StoreReturns, "store-returns", false, "let the store return from older copies of its data")
 	flags.StringVar(&o.Dir, "dir", "", "directory for settings and logs; a new one if empty")
 	flags.StringVar(&o.NetworkPrefix, "network", fmt.Sprintf("127.%d", 100+os.Getpid()%100), "first two bytes of the addresses")
 	return cmd
@@ -68,8 +69,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d faults, %d requests, answers %v, %d broken; logs in %s\n",
-			report.Seed, report.Faults, report.Requests, report.ResponsesByStatus, len(report.Violations), o.Dir)
+		fmt.Printf("seed %d: %d faults, %d returns of the store, %d requests, answers %v, %d broken; logs in %s\n",
+			report.Seed, report.Faults, report.StoreReturns, report.Requests, report.ResponsesByStatus, len(report.Violations), o.Dir)
 		for _, violation := range report.Violations {
 			fmt.Println("  ", violation)
 		}
