gateway: notice the loss of all links to backend servers

An instance knew which servers it could not reach, but not that it reached none. Package isolation decides this from the results of dials: after failures at three different servers without a success in between, three servers in different zones are probed, and then again every 0.4 s until one is reached. Failures of attempts that began before a success do not count. A log line says when the links are lost and when they are back, and a metric that they are lost. No decision uses it yet.

upstream opens connections with a function of its caller.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,8 +8,10 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -95,6 +97,8 @@
 	Log      *slog.Logger
 	Registry prometheus.Registerer
 	Seed     uint64
+	// DialServer opens direct connections to backend servers. Nil means upstream.Dial.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
 	// ResponseBufferBytes bounds the memory of responses that are buffered on their way from
 	// servers to callers; 0 means upstream.DefaultBufferBytes.
 	ResponseBufferBytes int64
@@ -112,6 +116,7 @@
 	dialect           Dialect
 	log               *slog.Logger
 	upstream          *upstream.Client
+	links             *serverLinks
 	metrics           *metrics
 	suspects          *quarantine.Tracker
 	borrower          *quotaBorrower
@@ -171,7 +176,11 @@
 	if bufferBytes == 0 {
 		bufferBytes = upstream.DefaultBufferBytes
 	}
-	g.upstream = upstream.New(o.Dialect.RequestIDHeader(), g.metrics.connections.Inc, bufferBytes)
+	g.links = &serverLinks{gateway: g, dial: o.DialServer}
+	if g.links.dial == nil {
+		g.links.dial = upstream.Dial
+	}
+	g.upstream = upstream.New(o.Dialect.RequestIDHeader(), g.links.open, bufferBytes)
 	g.registerStateMetrics(o.Registry)
 	return g
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -69,6 +69,13 @@
 		return
 	}
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "jacinthrack_isolated", Help: "1 while this instance has lost its links to all backend servers.",
+	}, func() float64 {
+		if g.Isolated() {
+			return 1
+		}
+		return 0
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "jacinthrack_servers_leaving", Help: "Backend servers that have announced in a response that they leave.",
 	}, func() float64 {
 		g.mu.Lock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -99,10 +99,13 @@
 
 func (*ResponseMismatchError) Error() string { return "the response belongs to another request" }
 
+// DialFunc opens a connection to a backend server, which is identified by its ID and address.
+type DialFunc func(ctx context.Context, serverID, address string) (net.Conn, error)
+
 // Client sends requests to backend servers.
 type Client struct {
 	idHeader string
-	onDial   func()
+	dialFunc DialFunc
 	buffers  bufferBudget
 
 	mu    sync.Mutex
@@ -110,15 +113,18 @@
 }
 
 // New returns a client. idHeader is the name of the response header that holds the request
-// ID. onDial, if not nil, is called for each new connection. bufferBytes bounds the memory of
-// buffered responses.
-func New(idHeader string, onDial func(), bufferBytes int64) *Client {
-	return &Client{idHeader: idHeader, onDial: onDial, buffers: bufferBudget{limit: bufferBytes}, pools: make(map[string]*pool)}
+// ID. dial opens connections; nil means Dial. bufferBytes bounds the memory of buffered responses.
+func New(idHeader string, dial DialFunc, bufferBytes int64) *Client {
+	if dial == nil {
+		dial = func(ctx context.Context, _, address string) (net.Conn, error) { return Dial(ctx, address) }
+	}
+	return &Client{idHeader: idHeader, dialFunc: dial, buffers: bufferBudget{limit: bufferBytes}, pools: make(map[string]*pool)}
 }
 
 // pool holds the idle connections to one server at one address.
 type pool struct {
 	idHeader string
+	serverID string
 	address  string
 
 	mu     sync.Mutex
@@ -152,7 +158,7 @@
 	defer c.mu.Unlock()
 	p := c.pools[key]
 	if p == nil {
-		p = &pool{idHeader: c.idHeader, address: address}
+		p = &pool{idHeader: c.idHeader, serverID: serverID, address: address}
 		c.pools[key] = p
 	}
 	return p
@@ -165,8 +171,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, p := range c.pools {
-		serverID := key[:len(key)-len(p.address)-1]
-		if keep(serverID, p.address) {
+		if keep(p.serverID, p.address) {
 			p.closeExpired(time.Now())
 			continue
 		}
@@ -175,8 +180,8 @@
 	}
 }
 
-// dial opens a connection with x assigned to it and starts its readLoop.
-func (c *Client) dial(ctx context.Context, p *pool, x *exchange) (*conn, error) {
+// Dial opens a TCP connection to a backend server. Broken network links end it soon.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -184,13 +189,15 @@
 		},
 		Control: SetUserTimeout,
 	}
-	socket, err := dialer.DialContext(ctx, "tcp", p.address)
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// dial opens a connection with x assigned to it and starts its readLoop.
+func (c *Client) dial(ctx context.Context, p *pool, x *exchange) (*conn, error) {
+	socket, err := c.dialFunc(ctx, p.serverID, p.address)
 	if err != nil {
 		return nil, &DialError{Err: err}
 	}
-	if c.onDial != nil {
-		c.onDial()
-	}
 	head := &headReader{source: socket}
 	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, writer: requestWriter{socket: socket}, current: x, serverIdleTimeout: defaultIdleTimeout}
 	go connection.readLoop()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -62,6 +62,14 @@
 	_, _ = io.Copy(io.Discard, reader)
 }
 
+// newCountingClient returns a client that counts the connections that it opens.
+func newCountingClient(dials *atomic.Int32) *Client {
+	return New("X-Id", func(ctx context.Context, _, address string) (net.Conn, error) {
+		dials.Add(1)
+		return Dial(ctx, address)
+	}, DefaultBufferBytes)
+}
+
 func send(ctx context.Context, c *Client, address, method, id string) (*Response, bool, error) {
 	r := &http.Request{Method: method, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"X-Id": {id}}, ProtoMajor: 1, ProtoMinor: 1}
 	return c.Send(ctx, "s", address, r, id, c.NewBuffers())
@@ -89,7 +97,7 @@
 func TestSentRequestIsNotRepeated(t *testing.T) {
 	var dials atomic.Int32
 	s := newScriptedServer(t, responseText("1", "one"), "") // the second request gets no response
-	c := New("X-Id", func() { dials.Add(1) }, DefaultBufferBytes)
+	c := newCountingClient(&dials)
 	_, _, err := send(t.Context(), c, s.address, http.MethodGet, "1")
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -180,7 +188,7 @@
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	var dials atomic.Int32
 	s := newScriptedServer(t, responseText("1", "one")+responseText("1", "one"), responseText("2", "two"))
-	c := New("X-Id", func() { dials.Add(1) }, DefaultBufferBytes)
+	c := newCountingClient(&dials)
 	for range 2 {
 		r, _, err := send(t.Context(), c, s.address, http.MethodGet, "1")
 		must.NoError(t, err)
@@ -303,7 +311,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newScriptedServer(t, c.first, c.second)
 			var dials atomic.Int32
-			client := New("X-Id", func() { dials.Add(1) }, DefaultBufferBytes)
+			client := newCountingClient(&dials)
 			first, _, err := send(t.Context(), client, s.address, http.MethodPost, "1")
 			must.NoError(t, err)
 			must.Eq(t, http.StatusServiceUnavailable, first.Status)
