gateway: reach backend servers through other instances while all links are lost

Cause: an instance could reach a server only by its own links, whatever the other instances reached. Class of fault: a failure that all requests of an instance have in common is handled request by request.

Change: while an instance is isolated, its connections to servers go through another instance: the gRPC service Peer has a stream that opens a connection to a listed server and copies bytes. Everything else stays where the caller is: choice of the server, quotas, retries, and the promise that a request is sent at most once. The end of a connection and its reset stay different. Instances near the server come first; a request that may be processed in some regions only passes through instances of the server's region. Digests say that an instance is isolated, so that nothing is relayed through it. Kept direct connections are used before relayed ones, and closed if probes got no answer at all.

Alternatives: rejecting at once with Retry-After does not help while callers keep the address; passing whole requests on would count quotas and retries twice.

--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -48,3 +48,6 @@
 	}
 	return count
 }
+
+// Server returns the server with an ID, nil if it is not known.
+func (d *Dispatcher) Server(id string) *Server { return d.servers[id] }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// ConfigOutdated is called when another instance has a newer configuration, of the given
 	// version.
 	ConfigOutdated(version int64)
+	// Isolated reports whether this instance has lost its links to all backend servers.
+	Isolated() bool
 	// Lend takes up to the given number of a customer's quota tokens for another instance.
 	// It returns the tokens lent and the tokens that remain here.
 	Lend(customer string, tokens float64) (lent, remaining float64)
@@ -97,6 +99,7 @@
 	seenAt      time.Time
 	ready       bool
 	configFresh bool // its configuration age is below maxConfigAge, or not known
+	isolated    bool // it has lost its links to all backend servers
 }
 
 // New returns a view without other instances. Instances whose configuration age is maxConfigAge
@@ -167,31 +170,38 @@
 
 // SelectAddresses returns up to limit caller addresses of instances that are alive and ready,
 // sorted, for callers in a region. It takes the first of these groups that is not empty: instances
-// of the region with a fresh configuration, all with a fresh configuration, all of the region, all.
-// This instance is included while it is ready.
+// of the region with a fresh configuration, all with a fresh configuration, all of the region, all. This
+// instance is included while it is ready.
 func (v *View) SelectAddresses(region string, now time.Time, limit int) []string {
+	alive := v.aliveAndReady(now)
+	if v.dataPath.Ready() {
+		alive = append(alive, sighting{instance: v.self, ready: true, configFresh: v.dataPath.ConfigAge() < v.maxConfigAge, isolated: v.dataPath.Isolated()})
+	}
+	inRegion := func(s sighting) bool { return s.instance.Region == region }
+	for _, accept := range []func(sighting) bool{
+		func(s sighting) bool { return s.configFresh && inRegion(s) },
+		func(s sighting) bool { return s.configFresh },
+		inRegion,
+	} {
+		if addresses := matchingAddresses(alive, accept); len(addresses) > 0 {
+			return addresses[:min(len(addresses), limit)]
+		}
+	}
+	addresses := matchingAddresses(alive, func(sighting) bool { return true })
+	return addresses[:min(len(addresses), limit)]
+}
+
+// aliveAndReady returns the other instances that are alive and ready.
+func (v *View) aliveAndReady(now time.Time) []sighting {
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	alive := make([]sighting, 0, len(v.sightingByAddress)+1)
 	for _, s := range v.sightingByAddress {
 		if s.ready && now.Sub(s.seenAt) < LivenessTimeout {
 			alive = append(alive, s)
 		}
 	}
-	v.mu.Unlock()
-	if v.dataPath.Ready() {
-		alive = append(alive, sighting{instance: v.self, ready: true, configFresh: v.dataPath.ConfigAge() < v.maxConfigAge})
-	}
-	addresses := matchingAddresses(alive, func(s sighting) bool { return s.configFresh && s.instance.Region == region })
-	if len(addresses) == 0 {
-		addresses = matchingAddresses(alive, func(s sighting) bool { return s.configFresh })
-	}
-	if len(addresses) == 0 {
-		addresses = matchingAddresses(alive, func(s sighting) bool { return s.instance.Region == region })
-	}
-	if len(addresses) == 0 {
-		addresses = matchingAddresses(alive, func(sighting) bool { return true })
-	}
-	return addresses[:min(len(addresses), limit)]
+	return alive
 }
 
 // matchingAddresses returns the sorted caller addresses of the instances that the filter accepts.
@@ -251,6 +261,7 @@
 	return &peerpb.Sender{
 		Name: v.self.Name, Zone: v.self.Zone, BootId: v.self.BootID,
 		PeerAddress: v.self.PeerAddress, CallerAddress: v.self.CallerAddress, Draining: !v.dataPath.Ready(),
+		Isolated: v.dataPath.Isolated(),
 	}
 }
 
@@ -268,6 +279,7 @@
 		list = append(list, &peerpb.Sighting{AgeMs: uint32(age.Milliseconds()), Instance: &peerpb.Sender{
 			Name: s.instance.Name, Zone: s.instance.Zone, BootId: s.instance.BootID,
 			PeerAddress: s.instance.PeerAddress, CallerAddress: s.instance.CallerAddress, Draining: !s.ready,
+			Isolated: s.isolated,
 		}})
 	}
 	return list
@@ -346,7 +358,7 @@
 		PeerAddress: sender.GetPeerAddress(), CallerAddress: sender.GetCallerAddress(),
 	}
 	in.Region = v.regionOf(in)
-	v.sightingByAddress[in.CallerAddress] = sighting{instance: in, seenAt: at, ready: !sender.GetDraining(), configFresh: configFresh}
+	v.sightingByAddress[in.CallerAddress] = sighting{instance: in, seenAt: at, ready: !sender.GetDraining(), configFresh: configFresh, isolated: sender.GetIsolated()}
 }
 
 // regionOf returns the region of an instance, which digests do not contain: that of its
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -23,6 +23,7 @@
 	outdatedCalls    int
 	announcedVersion int64 // by the last one
 	ready            bool
+	isolated         bool
 	demands          []dispatch.RateDemand
 	mergedDemands    []mergedDemand
 	// nextVersion is a version that comes into force, with the age 0, right after the next call
@@ -56,7 +57,8 @@
 func (f *fakeDataPath) ConfigOutdated(version int64) {
 	f.outdatedCalls, f.announcedVersion = f.outdatedCalls+1, version
 }
-func (f *fakeDataPath) Ready() bool { return f.ready }
+func (f *fakeDataPath) Ready() bool    { return f.ready }
+func (f *fakeDataPath) Isolated() bool { return f.isolated }
 func (f *fakeDataPath) Lend(_ string, tokens float64) (float64, float64) {
 	return min(tokens, 0.25), 0.5
 }
--- /dev/null
+++ b/fleet/relay.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"sort"
+	"time"
+)
+
+// RelayOpener opens connections to backend servers through the instance at a peer address. It is
+// implemented by peer.Service.
+type RelayOpener interface {
+	OpenRelay(ctx context.Context, peerAddress, serverID, serverAddress string) (net.Conn, error)
+}
+
+// Relays finds instances that relay connections to backend servers. It implements gateway.Relays.
+type Relays struct {
+	*View
+	RelayOpener
+}
+
+// RelayAddresses implements gateway.Relays. It returns the peer addresses of the instances that are
+// alive, ready and not isolated: those of the server's zone, then of its region and, unless the
+// instance must be in that region, of this region and of the others. Among equals the order depends
+// on the server, so that the relayed connections are spread.
+func (r *Relays) RelayAddresses(serverID, zone, region string, sameRegion bool) []string {
+	distance := func(in Instance) int {
+		switch {
+		case in.Zone == zone:
+			return 0
+		case in.Region == region:
+			return 1
+		case in.Region == r.self.Region:
+			return 2
+		}
+		return 3
+	}
+	var candidates []Instance
+	for _, s := range r.aliveAndReady(time.Now()) {
+		if !s.isolated && (!sameRegion || distance(s.instance) <= 1) {
+			candidates = append(candidates, s.instance)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		a, b := candidates[i], candidates[j]
+		if distance(a) != distance(b) {
+			return distance(a) < distance(b)
+		}
+		return relayRank(a, serverID) < relayRank(b, serverID)
+	})
+	addresses := make([]string, 0, len(candidates))
+	for _, in := range candidates {
+		addresses = append(addresses, in.PeerAddress)
+	}
+	return addresses
+}
+
+// relayRank orders instances at the same distance differently for each server.
+func relayRank(in Instance, serverID string) uint64 {
+	h := fnv.New64a()
+	// Writing to a hash returns no error.
+	_, _ = h.Write([]byte(in.PeerAddress + " " + serverID))
+	return h.Sum64()
+}
--- /dev/null
+++ b/fleet/relay_test.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+)
+
+// isolatedDigest is a digest of an isolated instance.
+func isolatedDigest(suffix, zone string) *peerpb.Digest {
+	d := testDigest(suffix, zone, 1, 0, false)
+	d.Sender.Isolated = true
+	return d
+}
+
+// newRelayView returns a view of instances in two regions: n1 in this zone and n2 in zone z2 are in
+// region r1, n3 and n4 in zone z3 of region r2.
+func newRelayView(f *fakeDataPath) *View {
+	v := newTestView(f)
+	v.SetRegistered([]Instance{
+		{Name: "n1", Zone: "z1", Region: "r1", PeerAddress: "p1", CallerAddress: "c1"}, {Name: "n2", Zone: "z2", Region: "r1", PeerAddress: "p2", CallerAddress: "c2"},
+		{Name: "n3", Zone: "z3", Region: "r2", PeerAddress: "p3", CallerAddress: "c3"}, {Name: "n4", Zone: "z3", Region: "r2", PeerAddress: "p4", CallerAddress: "c4"},
+	})
+	for suffix, zone := range map[string]string{"1": "z1", "2": "z2", "3": "z3", "4": "z3"} {
+		v.MergeRequest(testDigest(suffix, zone, 1, 0, false))
+	}
+	return v
+}
+
+// Guards against relays through instances that are isolated, gone or stopping, and against requests
+// that pass through a region in which they may not be processed.
+func TestRelaysAreNearTheServerAndUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Relays{View: newRelayView(&fakeDataPath{ready: true, version: 1})}
+		must.Eq(t, []string{"p1", "p2"}, r.RelayAddresses("s1", "z1", "r1", true))
+		must.Eq(t, []string{"p2", "p1"}, r.RelayAddresses("s1", "z2", "r1", true))
+		must.SliceContainsAll(t, []string{"p3", "p4"}, r.RelayAddresses("s1", "z3", "r2", true))
+		must.Eq(t, []string{"p1", "p2"}, r.RelayAddresses("s1", "z1", "r1", false)[:2])
+		must.Len(t, 4, r.RelayAddresses("s1", "z1", "r1", false))
+		r.MergeRequest(isolatedDigest("1", "z1"))
+		r.MergeRequest(testDigest("2", "z2", 1, 0, true)) // draining
+		must.SliceEmpty(t, r.RelayAddresses("s1", "z1", "r1", true))
+		must.Len(t, 2, r.RelayAddresses("s1", "z1", "r1", false))
+		time.Sleep(LivenessTimeout + time.Second)
+		must.SliceEmpty(t, r.RelayAddresses("s1", "z1", "r1", false))
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"syscall"
@@ -45,7 +44,8 @@
 		return sendResult{reason: err.Error()}
 	}
 	outgoing := g.serverRequest(state, server.id, time.Until(state.deadline))
-	serverResponse, maybeSent, err := g.upstream.Send(ctx, server.id, server.address, outgoing, state.requestID, state.buffers)
+	target := upstream.Target{ServerID: server.id, Address: server.address, Path: g.links.path(request.RegionRestricted)}
+	serverResponse, maybeSent, err := g.upstream.Send(ctx, target, outgoing, state.requestID, state.buffers)
 	attemptResult := dispatch.AttemptResult{Duration: time.Since(start), Incarnation: server.incarnation}
 	var result sendResult
 	if err != nil {
@@ -147,7 +147,7 @@
 	case ctx.Err() != nil:
 		return sendResult{reason: "no response in time"}, dispatch.OutcomeTimedOut
 	}
-	if refusesConnection(server.address) {
+	if g.refusesConnection(server.address) {
 		for _, fingerprint := range g.suspects.ServerCrashed(server.id, time.Now()) {
 			g.log.Warn("request was in flight at a crashed backend server", "server", server.id, "fingerprint", uint64(fingerprint))
 		}
@@ -157,8 +157,10 @@
 
 // refusesConnection reports whether connections to an address are refused because no process
 // listens there.
-func refusesConnection(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
+func (g *Gateway) refusesConnection(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	conn, err := g.links.dial(ctx, address)
 	if err == nil {
 		conn.Close()
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -243,6 +243,10 @@
 // be called before the first request.
 func (g *Gateway) SetLenders(l Lenders) { g.borrower.lenders = l }
 
+// SetRelays sets how connections to servers are opened through other instances. It must be called
+// before the first request.
+func (g *Gateway) SetRelays(r Relays) { g.links.relays = r }
+
 // SetPolicy replaces the policy.
 func (g *Gateway) SetPolicy(p Policy) {
 	g.mu.Lock()
--- a/peer/service.go
+++ b/peer/service.go
@@ -26,6 +26,7 @@
 	Handler        Handler
 	Directory      Directory
 	ShareAllocator ShareAllocator // nil: share requests are rejected
+	ServerDialer   ServerDialer   // nil: relays are rejected
 	Log            *slog.Logger
 	// Dial opens connections to peers. Nil means TCP connections.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -45,6 +46,7 @@
 	handler        Handler
 	directory      Directory
 	shareAllocator ShareAllocator
+	serverDialer   ServerDialer
 	log            *slog.Logger
 	dial           func(ctx context.Context, address string) (net.Conn, error)
 	requires       []string
@@ -64,6 +66,7 @@
 type peerConn struct {
 	*grpc.ClientConn
 	lastUsed time.Time
+	relays   int // open connections to servers through the peer
 }
 
 // connIdleTimeout is the time without use after which a connection to a peer is closed. In a
@@ -81,6 +84,7 @@
 		handler:        o.Handler,
 		directory:      o.Directory,
 		shareAllocator: o.ShareAllocator,
+		serverDialer:   o.ServerDialer,
 		log:            o.Log,
 		dial:           o.Dial,
 		requires:       o.Requires,
@@ -140,10 +144,19 @@
 func (s *Service) client(address string) (peerpb.PeerClient, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	conn, err := s.connTo(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// connTo returns the connection to the peer at address. The lock must be held.
+func (s *Service) connTo(address string) (*peerConn, error) {
 	existing, ok := s.conns[address]
 	if ok {
 		existing.lastUsed = time.Now()
-		return peerpb.NewPeerClient(existing), nil
+		return existing, nil
 	}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(s.credentials()),
@@ -161,7 +174,7 @@
 		return nil, &DialError{Address: address, Err: err}
 	}
 	s.conns[address] = &peerConn{ClientConn: conn, lastUsed: time.Now()}
-	return peerpb.NewPeerClient(conn), nil
+	return s.conns[address], nil
 }
 
 func (s *Service) credentials() credentials.TransportCredentials {
@@ -172,7 +185,7 @@
 }
 
 // closeUnusedConns closes connections that have been idle for connIdleTimeout or whose address
-// does not belong to one of the instances.
+// does not belong to one of the instances, unless relays use them.
 func (s *Service) closeUnusedConns(instances []Instance) {
 	listed := make(map[string]bool, len(instances))
 	for _, in := range instances {
@@ -181,7 +194,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, conn := range s.conns {
-		if listed[address] && time.Since(conn.lastUsed) < connIdleTimeout {
+		if conn.relays > 0 || listed[address] && time.Since(conn.lastUsed) < connIdleTimeout {
 			continue
 		}
 		conn.Close()
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -96,7 +96,7 @@
 	Incarnation int64
 	// RecordSequence increases with the records that this process writes about itself.
 	RecordSequence int64
-	LastSeen    time.Time // when the record was last seen
+	LastSeen       time.Time // when the record was last seen
 }
 
 // NewConfig returns a configuration with its indexes. hosts maps host names in lower case to
--- a/upstream/brokenresponse_test.go
+++ b/upstream/brokenresponse_test.go
@@ -100,7 +100,7 @@
 		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"X-Id": {id}}, ProtoMajor: 1, ProtoMinor: 1,
 		Body: io.NopCloser(zeros{}), ContentLength: -1,
 	}
-	response, _, err := c.Send(t.Context(), "s", address, r, id, c.NewBuffers())
+	response, _, err := c.Send(t.Context(), Target{ServerID: "s", Address: address}, r, id, c.NewBuffers())
 	return response, err
 }
 
--- a/upstream/buffer_test.go
+++ b/upstream/buffer_test.go
@@ -54,7 +54,7 @@
 			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://h/x", nil)
 			must.NoError(t, err)
 			address := newClosingServer(t, text)
-			response, _, err := client.Send(ctx, "s", address, request, "1", buffers)
+			response, _, err := client.Send(ctx, Target{ServerID: "s", Address: address}, request, "1", buffers)
 			if err == nil {
 				must.Positive(t, client.BufferedBytes())
 			}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -99,8 +100,26 @@
 
 func (*ResponseMismatchError) Error() string { return "the response belongs to another request" }
 
-// DialFunc opens a connection to a backend server, which is identified by its ID and address.
-type DialFunc func(ctx context.Context, serverID, address string) (net.Conn, error)
+// Path is the way of a connection to a backend server.
+type Path uint8
+
+// Paths. A relayed connection goes through another instance.
+const (
+	PathDirect          Path = iota
+	PathRelayed              // through an instance of any region
+	PathRelayedInRegion      // through an instance of the server's region
+)
+
+// Target is a backend server and the way to it. ServerID identifies one run of the server process;
+// connections are not shared between two runs at the same address.
+type Target struct {
+	ServerID string
+	Address  string
+	Path     Path
+}
+
+// DialFunc opens a connection to a backend server.
+type DialFunc func(ctx context.Context, t Target) (net.Conn, error)
 
 // Client sends requests to backend servers.
 type Client struct {
@@ -109,57 +128,64 @@
 	buffers  bufferBudget
 
 	mu    sync.Mutex
-	pools map[string]*pool // by server ID and address, as "ID@address"
+	pools map[Target]*pool
 }
 
 // New returns a client. idHeader is the name of the response header that holds the request
 // ID. dial opens connections; nil means Dial. bufferBytes bounds the memory of buffered responses.
 func New(idHeader string, dial DialFunc, bufferBytes int64) *Client {
 	if dial == nil {
-		dial = func(ctx context.Context, _, address string) (net.Conn, error) { return Dial(ctx, address) }
+		dial = func(ctx context.Context, t Target) (net.Conn, error) { return Dial(ctx, t.Address) }
 	}
-	return &Client{idHeader: idHeader, dialFunc: dial, buffers: bufferBudget{limit: bufferBytes}, pools: make(map[string]*pool)}
+	return &Client{idHeader: idHeader, dialFunc: dial, buffers: bufferBudget{limit: bufferBytes}, pools: make(map[Target]*pool)}
 }
 
-// pool holds the idle connections to one server at one address.
+// pool holds the idle connections to one target.
 type pool struct {
 	idHeader string
-	serverID string
-	address  string
+	target   Target
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
 	closed bool    // connections are closed instead of added
 }
 
-// Send sends a request to the server at address and returns its response. serverID
-// identifies one run of the server process; connections are not shared between two runs at
-// the same address. The response occupies buffers until they are released. maybeSent is set if
-// bytes of the request may have reached the server.
-func (c *Client) Send(ctx context.Context, serverID, address string, r *http.Request, requestID string, buffers *Buffers) (response *Response, maybeSent bool, err error) {
-	p := c.poolFor(serverID, address)
+// Send sends a request to a server and returns its response. A kept direct connection is used also
+// if the path is another one. The response occupies buffers until they are released. maybeSent is set
+// if bytes of the request may have reached the server.
+func (c *Client) Send(ctx context.Context, t Target, r *http.Request, requestID string, buffers *Buffers) (response *Response, maybeSent bool, err error) {
 	x := &exchange{request: r, requestID: requestID, buffers: buffers, result: make(chan result, 1)}
-	connection := p.acquire(x)
+	connection := c.acquire(t, x)
 	if connection == nil {
-		if connection, err = c.dial(ctx, p, x); err != nil {
+		if connection, err = c.dial(ctx, c.poolFor(t), x); err != nil {
 			return nil, false, err
 		}
 	}
 	response, err = connection.roundTrip(ctx, x)
 	if err == nil && response.RemainingBody == nil {
-		p.release(connection)
+		connection.pool.release(connection)
 	}
 	return response, true, err
 }
 
-func (c *Client) poolFor(serverID, address string) *pool {
-	key := serverID + "@" + address
+// acquire takes an idle connection to a server and assigns x to it. It returns nil if there is no
+// usable one.
+func (c *Client) acquire(t Target, x *exchange) *conn {
+	direct := t
+	direct.Path = PathDirect
+	if connection := c.poolFor(direct).acquire(x); connection != nil || t.Path == PathDirect {
+		return connection
+	}
+	return c.poolFor(t).acquire(x)
+}
+
+func (c *Client) poolFor(t Target) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.pools[key]
+	p := c.pools[t]
 	if p == nil {
-		p = &pool{idHeader: c.idHeader, serverID: serverID, address: address}
-		c.pools[key] = p
+		p = &pool{idHeader: c.idHeader, target: t}
+		c.pools[t] = p
 	}
 	return p
 }
@@ -170,13 +196,25 @@
 func (c *Client) ClosePoolsExcept(keep func(serverID, address string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for key, p := range c.pools {
-		if keep(p.serverID, p.address) {
+	for t, p := range c.pools {
+		if keep(t.ServerID, t.Address) {
 			p.closeExpired(time.Now())
 			continue
 		}
 		p.close()
-		delete(c.pools, key)
+		delete(c.pools, t)
+	}
+}
+
+// CloseIdle closes the idle connections on the paths given.
+func (c *Client) CloseIdle(paths ...Path) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for t, p := range c.pools {
+		if slices.Contains(paths, t.Path) {
+			p.close()
+			delete(c.pools, t)
+		}
 	}
 }
 
@@ -194,7 +232,7 @@
 
 // dial opens a connection with x assigned to it and starts its readLoop.
 func (c *Client) dial(ctx context.Context, p *pool, x *exchange) (*conn, error) {
-	socket, err := c.dialFunc(ctx, p.serverID, p.address)
+	socket, err := c.dialFunc(ctx, p.target)
 	if err != nil {
 		return nil, &DialError{Err: err}
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -64,15 +64,15 @@
 
 // newCountingClient returns a client that counts the connections that it opens.
 func newCountingClient(dials *atomic.Int32) *Client {
-	return New("X-Id", func(ctx context.Context, _, address string) (net.Conn, error) {
+	return New("X-Id", func(ctx context.Context, target Target) (net.Conn, error) {
 		dials.Add(1)
-		return Dial(ctx, address)
+		return Dial(ctx, target.Address)
 	}, DefaultBufferBytes)
 }
 
 func send(ctx context.Context, c *Client, address, method, id string) (*Response, bool, error) {
 	r := &http.Request{Method: method, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"X-Id": {id}}, ProtoMajor: 1, ProtoMinor: 1}
-	return c.Send(ctx, "s", address, r, id, c.NewBuffers())
+	return c.Send(ctx, Target{ServerID: "s", Address: address}, r, id, c.NewBuffers())
 }
 
 func responseText(id, body string) string {
@@ -348,3 +348,28 @@
 		})
 	}
 }
+
+// Guards against kept direct connections that are not used while new ones must be relayed, and
+// against one that is used although it was closed with the others.
+func TestKeptDirectConnectionIsUsedBeforeARelayedOne(t *testing.T) {
+	s := newScriptedServer(t, responseText("1", "one"), responseText("2", "two"))
+	var paths []Path
+	client := New("X-Id", func(ctx context.Context, target Target) (net.Conn, error) {
+		paths = append(paths, target.Path)
+		return Dial(ctx, target.Address)
+	}, DefaultBufferBytes)
+	request := func(id string, path Path) string {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/x", nil)
+		must.NoError(t, err)
+		response, _, err := client.Send(t.Context(), Target{ServerID: "s", Address: s.address, Path: path}, r, id, client.NewBuffers())
+		must.NoError(t, err)
+		return string(response.Body)
+	}
+	must.Eq(t, "one", request("1", PathDirect))
+	must.Eq(t, "two", request("2", PathRelayed))
+	must.Eq(t, []Path{PathDirect}, paths)
+	client.CloseIdle(PathDirect)
+	must.Eq(t, "one", request("1", PathRelayed))
+	must.Eq(t, "two", request("2", PathRelayed))
+	must.Eq(t, []Path{PathDirect, PathRelayed}, paths)
+}
