fleet: look-ups name isolated instances last

What callers saw: they were sent to instances without links to the servers for as long as the cut lasted.

Cause: look-ups prefer instances that are ready, near and up to date; that an instance reaches no server was not known to the others.

Change: instances that are isolated are named only if there are no others, also of another region. They stay ready: callers that keep their address are served through the other instances.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -170,7 +170,8 @@
 
 // SelectAddresses returns up to limit caller addresses of instances that are alive and ready,
 // sorted, for callers in a region. It takes the first of these groups that is not empty: instances
-// of the region with a fresh configuration, all with a fresh configuration, all of the region, all. This
+// of the region with a fresh configuration that are not isolated, all such instances, those of the
+// region with a fresh configuration, all with a fresh configuration, all of the region, all. This
 // instance is included while it is ready.
 func (v *View) SelectAddresses(region string, now time.Time, limit int) []string {
 	alive := v.aliveAndReady(now)
@@ -179,6 +180,8 @@
 	}
 	inRegion := func(s sighting) bool { return s.instance.Region == region }
 	for _, accept := range []func(sighting) bool{
+		func(s sighting) bool { return s.configFresh && !s.isolated && inRegion(s) },
+		func(s sighting) bool { return s.configFresh && !s.isolated },
 		func(s sighting) bool { return s.configFresh && inRegion(s) },
 		func(s sighting) bool { return s.configFresh },
 		inRegion,
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -49,3 +49,24 @@
 		must.SliceEmpty(t, r.RelayAddresses("s1", "z1", "r1", false))
 	})
 }
+
+// Guards against look-ups that name an isolated instance beside one that is not, or none if all are
+// isolated.
+func TestSelectAddressesPrefersInstancesThatAreNotIsolated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeDataPath{ready: true, version: 1}
+		v := newRelayView(f)
+		selectAddresses := func() []string { return v.SelectAddresses("r1", time.Now(), 64) }
+		must.Eq(t, []string{"c0", "c1", "c2"}, selectAddresses())
+		f.isolated = true
+		v.MergeRequest(isolatedDigest("1", "z1"))
+		must.Eq(t, []string{"c2"}, selectAddresses())
+		v.MergeRequest(isolatedDigest("2", "z2"))
+		must.Eq(t, []string{"c3", "c4"}, selectAddresses())
+		v.MergeRequest(isolatedDigest("3", "z3"))
+		v.MergeRequest(isolatedDigest("4", "z3"))
+		must.Eq(t, []string{"c0", "c1", "c2"}, selectAddresses())
+		v.MergeRequest(testDigest("1", "z1", 1, 0, false))
+		must.Eq(t, []string{"c1"}, selectAddresses())
+	})
+}
