gateway: use servers at once when the way to them changes

What callers saw: requests at an isolated instance were rejected with "no usable server" for up to 4 s, and again after the links were back.

Cause: failed dials of the lost links were taken for failures of the servers, which are avoided for 0.3 to 4 s, longer each time. Class of fault: a fault of one's own link is booked to the other side.

Change: when the loss of all links is noticed, and when it ends, the servers that could not be reached count as untried.

Evidence: TestServersAreUsedAgainWhenTheWayToThemChanges fails without it.

--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // ServersAcrossZones returns up to count random servers that the platform and the operator let get
@@ -51,3 +52,10 @@
 
 // Server returns the server with an ID, nil if it is not known.
 func (d *Dispatcher) Server(id string) *Server { return d.servers[id] }
+
+// ForgetUnreachable lets the servers that could not be reached get requests at once.
+func (d *Dispatcher) ForgetUnreachable() {
+	for _, s := range d.servers {
+		s.consecutiveFailures, s.ejectedUntil = 0, time.Time{}
+	}
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -193,6 +193,11 @@
 	if !isolated {
 		g.upstream.CloseIdle(upstream.PathRelayed, upstream.PathRelayedInRegion)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// The failed attempts so far were failures of the links.
+	g.dispatcher.ForgetUnreachable()
+	g.startAllWaiters()
 }
 
 // DialForPeer implements peer.ServerDialer.
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -107,3 +108,33 @@
 	_, err = g.DialForPeer(t.Context(), "s1", "10.0.0.1:80")
 	must.True(t, errors.Is(err, syscall.ECONNREFUSED))
 }
+
+// Guards against servers that get no requests for seconds, although other instances reach them, since
+// they were out of reach before the loss of the links was noticed, and again after its end.
+func TestServersAreUsedAgainWhenTheWayToThemChanges(t *testing.T) {
+	for _, isolated := range []bool{true, false} {
+		g, _ := newCutGateway(t)
+		usable := func() bool {
+			now := time.Now()
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			d, w := g.dispatcher.Submit(&dispatch.Request{Service: "s", Route: "r", ObjectiveAt: now.Add(time.Second), Deadline: now.Add(time.Second)}, now)
+			if w != nil {
+				g.dispatcher.RemoveWaiter(w)
+			}
+			return d.Verdict == dispatch.VerdictStart
+		}
+		g.mu.Lock()
+		for i := range 4 {
+			now := time.Now()
+			r := &dispatch.Request{Service: "s", Route: "r", ObjectiveAt: now.Add(time.Second), Deadline: now.Add(time.Second)}
+			d, _ := g.dispatcher.Submit(r, now)
+			must.Eq(t, dispatch.VerdictStart, d.Verdict, must.Sprint(i))
+			g.dispatcher.Finish(r, d.Server, dispatch.AttemptResult{Outcome: dispatch.OutcomeUnreachable}, now)
+		}
+		g.mu.Unlock()
+		must.False(t, usable())
+		g.handleIsolationChange(isolated, true)
+		must.True(t, usable())
+	}
+}
