gateway: connections that are reset with all links show no crash of a server

What callers could see: sound requests quarantined, and so rejected, since their connections were reset and their servers refused new ones when their instance lost its links.

Cause: a broken connection to a server that refuses connections is taken for a crash by the request in flight, also where no server can be reached.

Change: not while the instance is isolated. Between the reset and the third failed dial, within some milliseconds under load, it can still happen.

Evidence: TestLostLinksAreNoCrashOfAServer fails without it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -147,7 +147,7 @@
 	case ctx.Err() != nil:
 		return sendResult{reason: "no response in time"}, dispatch.OutcomeTimedOut
 	}
-	if g.refusesConnection(server.address) {
+	if !g.Isolated() && g.refusesConnection(server.address) {
 		for _, fingerprint := range g.suspects.ServerCrashed(server.id, time.Now()) {
 			g.log.Warn("request was in flight at a crashed backend server", "server", server.id, "fingerprint", uint64(fingerprint))
 		}
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -138,3 +138,20 @@
 		must.True(t, usable())
 	}
 }
+
+// Guards against sound requests that count as crashing servers, since all connections were reset
+// when this instance lost its links.
+func TestLostLinksAreNoCrashOfAServer(t *testing.T) {
+	for _, isolated := range []bool{true, false} {
+		g, _ := newCutGateway(t)
+		if !isolated {
+			g.links.mu.Lock()
+			g.links.detector.RecordProbes(g.links.detector.Begin(), 3, 1)
+			g.links.mu.Unlock()
+		}
+		must.NoError(t, g.suspects.Begin(7, "s1", time.Now()))
+		state := &requestState{route: &routes.Route{}, fingerprint: 7}
+		g.handleSendError(t.Context(), state, reservedServer{id: "s1", address: "10.0.0.1:80"}, true, errors.New("connection reset"))
+		must.Eq(t, isolated, g.suspects.Crashes(7, time.Now()) == 0)
+	}
+}
