--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -45,6 +45,9 @@
 	}
 	outgoing := g.serverRequest(state, server.id, time.Until(state.deadline))
 	target := upstream.Target{ServerID: server.id, Address: server.address, Path: g.links.path(request.RegionRestricted)}
+	if target.Path != upstream.PathDirect {
+		state.relayedAttempts++
+	}
 	serverResponse, maybeSent, err := g.upstream.Send(ctx, target, outgoing, state.requestID, state.buffers)
 	attemptResult := dispatch.AttemptResult{Duration: time.Since(start), Incarnation: server.incarnation}
 	var result sendResult
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -45,13 +45,14 @@
 	fingerprint   quarantine.Fingerprint
 	buffers       *upstream.Buffers // of the responses of servers
 
-	attempts     int
-	sentAttempts int           // attempts of which bytes may have reached a server
-	capacityWait time.Duration // time spent waiting for free capacity at servers
-	quotaWait    time.Duration // time spent borrowing a quota token from other instances
-	triedServers []string      // IDs
-	mayHaveRun   bool          // a server may have run the request
-	reason       string        // why the request was rejected or failed; for its log line
+	attempts        int
+	relayedAttempts int           // attempts through other instances
+	sentAttempts    int           // attempts of which bytes may have reached a server
+	capacityWait    time.Duration // time spent waiting for free capacity at servers
+	quotaWait       time.Duration // time spent borrowing a quota token from other instances
+	triedServers    []string      // IDs
+	mayHaveRun      bool          // a server may have run the request
+	reason          string        // why the request was rejected or failed; for its log line
 }
 
 func (state *requestState) customerName() string {
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -45,7 +45,7 @@
 		slog.String("request_id", state.requestID), slog.String("outcome", outcome), slog.Int("status", response.Status),
 		slog.String("route", route), slog.String("service", state.service), slog.String("customer", state.customerName()),
 		slog.Int64("config_version", state.configVersion), slog.Int64("age_ms", min(state.configAge, time.Hour).Milliseconds()),
-		slog.Int("attempts", state.attempts), slog.String("servers", strings.Join(state.triedServers, ",")),
+		slog.Int("attempts", state.attempts), slog.Int("relayed_attempts", state.relayedAttempts), slog.String("servers", strings.Join(state.triedServers, ",")),
 		slog.Bool("may_have_run", state.mayHaveRun), slog.Int64("quota_wait_ms", state.quotaWait.Milliseconds()), slog.Int64("capacity_wait_ms", state.capacityWait.Milliseconds()),
 		slog.Int64("duration_ms", duration.Milliseconds()),
 		slog.String("reason", state.reason))
