peer: a reset that a relayed write has seen does not complete a response

The kernel reports a reset to one system call only. A relay whose write got it could see the end of the response before that write was recorded, and end the stream as if the server had closed the connection: a response without a length would count as complete. upstream had solved this with a writer that is asked at the end of a body; it moves to internal/connwrite, and the relay uses it.

--- a/peer/relay.go
+++ b/peer/relay.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,6 +13,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/jacinthrack/jacinthrack/internal/connwrite"
 	"github.com/jacinthrack/jacinthrack/peer/peerpb"
 )
 
@@ -56,35 +56,27 @@
 	if err := stream.Send(&peerpb.RelayReply{}); err != nil {
 		return err
 	}
-	var writeFailed atomic.Bool
-	go func() {
-		if err := copyToServer(conn, stream); err != nil {
-			writeFailed.Store(true)
-		}
-	}()
-	if err := copyFromServer(stream, conn); err != nil {
-		return status.Error(codes.Aborted, err.Error())
+	writer := connwrite.New(conn)
+	go copyToServer(writer, stream)
+	err = copyFromServer(stream, conn)
+	if err == nil {
+		err = writer.Failure()
 	}
-	// The kernel reports a reset to one call only, which may have been the write.
-	if writeFailed.Load() {
-		return status.Error(codes.Aborted, "writing to the server failed")
+	if err != nil {
+		return status.Error(codes.Aborted, err.Error())
 	}
 	return nil
 }
 
-// copyToServer copies bytes of a peer until its stream ends. A server that has closed its side before
-// is no error.
-func copyToServer(conn net.Conn, stream grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayReply]) error {
+// copyToServer copies bytes of a peer until its stream ends or a write fails.
+func copyToServer(writer *connwrite.Writer, stream grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayReply]) {
 	for {
 		request, err := stream.Recv()
 		if err != nil {
-			return nil // the end of the stream closes the connection
+			return // the end of the stream closes the connection
 		}
-		if _, err := conn.Write(request.GetData()); err != nil {
-			if errors.Is(err, syscall.EPIPE) {
-				return nil
-			}
-			return err
+		if _, err := writer.Write(request.GetData()); err != nil {
+			return // the writer keeps the error
 		}
 	}
 }
--- a/upstream/requestwriter_test.go
+++ b/upstream/closedelimited_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jacinthrack/jacinthrack/internal/connwrite"
 )
 
 // failedSocket is a connection whose writes fail.
@@ -36,7 +38,7 @@
 		{syscall.EPIPE, nil}, // the server closed its side first
 	} {
 		t.Run(c.writeErr.Error(), func(t *testing.T) {
-			writer := &requestWriter{socket: &failedSocket{writeErr: c.writeErr}}
+			writer := connwrite.New(&failedSocket{writeErr: c.writeErr})
 			_, err := writer.Write([]byte("request"))
 			must.ErrorIs(t, err, c.writeErr)
 			body := &closeDelimitedBody{ReadCloser: io.NopCloser(strings.NewReader("body")), writer: writer}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthrack/jacinthrack/internal/connwrite"
 	"github.com/jacinthrack/jacinthrack/internal/responsecheck"
 )
 
@@ -23,7 +24,7 @@
 	socket net.Conn
 	reader *bufio.Reader
 	head   *headReader // source of reader
-	writer requestWriter
+	writer *connwrite.Writer
 	echoes bool // the server has sent a request ID on this connection; used by readLoop only
 
 	mu                sync.Mutex
@@ -89,7 +90,7 @@
 		return nil, false, &MalformedResponseError{Err: err}
 	}
 	if responsecheck.EndsWithConnection(resp) {
-		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, writer: &c.writer}
+		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, writer: c.writer}
 	}
 	responseID := resp.Header.Get(c.pool.idHeader)
 	body, complete, err := readBody(resp, x.buffers)
@@ -331,7 +332,7 @@
 // the exchange.
 func (c *conn) writeRequest(r *http.Request) error {
 	_ = c.socket.SetWriteDeadline(time.Time{})
-	err := r.Write(&c.writer)
+	err := r.Write(c.writer)
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.close()
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/jacinthrack/jacinthrack/internal/connwrite"
 )
 
 // Limits of connections.
@@ -237,7 +239,7 @@
 		return nil, &DialError{Err: err}
 	}
 	head := &headReader{source: socket}
-	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, writer: requestWriter{socket: socket}, current: x, serverIdleTimeout: defaultIdleTimeout}
+	connection := &conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, writer: connwrite.New(socket), current: x, serverIdleTimeout: defaultIdleTimeout}
 	go connection.readLoop()
 	return connection, nil
 }
