fleet: no further requests through a relaying instance that stops

What callers could see: requests cut when an instance that relays for others is stopped as planned. It was no longer chosen for new connections, but kept ones were used until its process ended; the same through an instance that had become isolated or silent.

Change: upstream asks a kept connection whether it may carry another request; a relayed one may not once its instance is stopping, isolated or not seen. Requests in flight go on within the grace period.

Evidence: TestKeptRelaysThroughUnusableInstancesAreNotUsed and TestUnusableKeptConnectionIsNotUsed; neither question was asked before.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -56,6 +56,33 @@
 	return addresses
 }
 
+// OpenRelay implements gateway.Relays.
+func (r *Relays) OpenRelay(ctx context.Context, peerAddress, serverID, serverAddress string) (net.Conn, error) {
+	conn, err := r.RelayOpener.OpenRelay(ctx, peerAddress, serverID, serverAddress)
+	if err != nil {
+		return nil, err
+	}
+	return &relayedConn{Conn: conn, relays: r, peerAddress: peerAddress}, nil
+}
+
+// relayedConn is a connection through another instance. It implements upstream.KeptConn.
+type relayedConn struct {
+	net.Conn
+	relays      *Relays
+	peerAddress string
+}
+
+// Usable implements upstream.KeptConn: an instance that is stopping still relays the requests in
+// flight, and must not get others.
+func (c *relayedConn) Usable() bool {
+	for _, s := range c.relays.aliveAndReady(time.Now()) {
+		if s.instance.PeerAddress == c.peerAddress {
+			return !s.isolated
+		}
+	}
+	return false
+}
+
 // relayRank orders instances at the same distance differently for each server.
 func relayRank(in Instance, serverID string) uint64 {
 	h := fnv.New64a()
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthrack/jacinthrack/peer/peerpb"
+	"github.com/jacinthrack/jacinthrack/upstream"
 )
 
 // isolatedDigest is a digest of an isolated instance.
@@ -50,6 +53,36 @@
 	})
 }
 
+// fakeOpener opens connections to nowhere.
+type fakeOpener struct{}
+
+func (fakeOpener) OpenRelay(context.Context, string, string, string) (net.Conn, error) {
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+// Guards against requests that are cut in a planned stop of the instance that relays them, and against
+// requests on kept connections through an instance that is isolated or gone.
+func TestKeptRelaysThroughUnusableInstancesAreNotUsed(t *testing.T) {
+	for name, change := range map[string]func(*View){
+		"stopping": func(v *View) { v.MergeRequest(testDigest("1", "z1", 1, 0, true)) },
+		"isolated": func(v *View) { v.MergeRequest(isolatedDigest("1", "z1")) },
+		"gone":     func(*View) { time.Sleep(LivenessTimeout + time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &Relays{View: newRelayView(&fakeDataPath{ready: true, version: 1}), RelayOpener: fakeOpener{}}
+				conn, err := r.OpenRelay(t.Context(), "p1", "s1", "10.0.0.1:80")
+				must.NoError(t, err)
+				kept := conn.(upstream.KeptConn)
+				must.True(t, kept.Usable())
+				change(r.View)
+				must.False(t, kept.Usable())
+			})
+		})
+	}
+}
+
 // Guards against look-ups that name an isolated instance beside one that is not, or none if all are
 // isolated.
 func TestSelectAddressesPrefersInstancesThatAreNotIsolated(t *testing.T) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -267,6 +267,12 @@
 	_ = c.socket.Close()
 }
 
+// usable reports whether the socket may carry another request.
+func (c *conn) usable() bool {
+	kept, ok := c.socket.(KeptConn)
+	return !ok || kept.Usable()
+}
+
 // assign starts an exchange on the connection. It returns false if the connection is unusable
 // or carries another request.
 func (c *conn) assign(x *exchange) bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -120,7 +120,14 @@
 	Path     Path
 }
 
-// DialFunc opens a connection to a backend server.
+// KeptConn is a connection that may become unusable for further requests without being closed.
+type KeptConn interface {
+	net.Conn
+	// Usable reports whether another request may be sent.
+	Usable() bool
+}
+
+// DialFunc opens a connection to a backend server. The connection may be a KeptConn.
 type DialFunc func(ctx context.Context, t Target) (net.Conn, error)
 
 // Client sends requests to backend servers.
@@ -267,7 +274,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if !c.idleExpired(now) && c.assign(x) {
+		if !c.idleExpired(now) && c.usable() && c.assign(x) {
 			return c
 		}
 		c.close()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -373,3 +373,32 @@
 	must.Eq(t, "two", request("2", PathRelayed))
 	must.Eq(t, []Path{PathDirect, PathRelayed}, paths)
 }
+
+// keptSocket is a KeptConn.
+type keptSocket struct {
+	net.Conn
+	usable *atomic.Bool
+}
+
+func (s keptSocket) Usable() bool { return s.usable.Load() }
+
+// Guards against a request on a kept connection that has become unusable.
+func TestUnusableKeptConnectionIsNotUsed(t *testing.T) {
+	s := newScriptedServer(t, responseText("1", "one"), responseText("2", "two"))
+	var usable atomic.Bool
+	usable.Store(true)
+	dials := 0
+	client := New("X-Id", func(ctx context.Context, target Target) (net.Conn, error) {
+		dials++
+		socket, err := Dial(ctx, target.Address)
+		return keptSocket{socket, &usable}, err
+	}, DefaultBufferBytes)
+	first, _, err := send(t.Context(), client, s.address, http.MethodGet, "1")
+	must.NoError(t, err)
+	must.Eq(t, "one", string(first.Body))
+	usable.Store(false)
+	second, _, err := send(t.Context(), client, s.address, http.MethodGet, "1")
+	must.NoError(t, err)
+	must.Eq(t, "one", string(second.Body))
+	must.Eq(t, 2, dials)
+}
