fleet: an instance that refuses to relay is not asked again

Change: an instance that refuses since it is isolated, or that cannot be reached, counts as isolated until it is seen again. Up to five instances are tried, since a refusal takes one round trip only.

Evidence: TestInstanceThatRefusesToRelayIsNotAskedAgain; without the change the instance stays first.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"net"
 	"sort"
 	"time"
+
+	"github.com/jacinthrack/jacinthrack/peer"
 )
 
 // RelayOpener opens connections to backend servers through the instance at a peer address. It is
@@ -59,12 +62,28 @@
 // OpenRelay implements gateway.Relays.
 func (r *Relays) OpenRelay(ctx context.Context, peerAddress, serverID, serverAddress string) (net.Conn, error) {
 	conn, err := r.RelayOpener.OpenRelay(ctx, peerAddress, serverID, serverAddress)
+	var relayErr *peer.RelayError
+	if errors.As(err, &relayErr) && relayErr.PeerUnusable() {
+		r.markIsolated(peerAddress)
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &relayedConn{Conn: conn, relays: r, peerAddress: peerAddress}, nil
 }
 
+// markIsolated records that an instance does not relay, until it is seen again.
+func (v *View) markIsolated(peerAddress string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for address, s := range v.sightingByAddress {
+		if s.instance.PeerAddress == peerAddress {
+			s.isolated = true
+			v.sightingByAddress[address] = s
+		}
+	}
+}
+
 // relayedConn is a connection through another instance. It implements upstream.KeptConn.
 type relayedConn struct {
 	net.Conn
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
+	"github.com/jacinthrack/jacinthrack/peer"
 	"github.com/jacinthrack/jacinthrack/peer/peerpb"
 	"github.com/jacinthrack/jacinthrack/upstream"
 )
@@ -83,6 +87,29 @@
 	}
 }
 
+// refusingOpener refuses to relay with a status.
+type refusingOpener struct{ code codes.Code }
+
+func (o refusingOpener) OpenRelay(_ context.Context, peerAddress, _, _ string) (net.Conn, error) {
+	return nil, &peer.RelayError{Peer: peerAddress, Err: status.Error(o.code, "refused")}
+}
+
+// Guards against an isolated instance through which relays are tried again and again, since its digest
+// has not arrived yet.
+func TestInstanceThatRefusesToRelayIsNotAskedAgain(t *testing.T) {
+	for code, asked := range map[codes.Code]bool{codes.Unavailable: false, codes.FailedPrecondition: true, codes.NotFound: true, codes.Canceled: true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := &Relays{View: newRelayView(&fakeDataPath{ready: true, version: 1}), RelayOpener: refusingOpener{code}}
+			time.Sleep(time.Millisecond)
+			_, err := r.OpenRelay(t.Context(), "p1", "s1", "10.0.0.1:80")
+			must.Error(t, err)
+			must.Eq(t, asked, slices.Contains(r.RelayAddresses("s1", "z1", "r1", true), "p1"), must.Sprint(code))
+			r.MergeRequest(testDigest("1", "z1", 1, 0, false))
+			must.SliceContains(t, r.RelayAddresses("s1", "z1", "r1", true), "p1")
+		})
+	}
+}
+
 // Guards against look-ups that name an isolated instance beside one that is not, or none if all are
 // isolated.
 func TestSelectAddressesPrefersInstancesThatAreNotIsolated(t *testing.T) {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -22,8 +22,9 @@
 	// relayTimeout bounds the opening of a connection through one instance: the connection of that
 	// instance to the server, and a round trip between regions.
 	relayTimeout = 700 * time.Millisecond
-	// maxRelayAttempts is the number of instances through which a connection is tried.
-	maxRelayAttempts = 2
+	// maxRelayAttempts is the number of instances through which a connection is tried. In a large
+	// fleet the news that an instance is isolated takes seconds; it refuses within a round trip.
+	maxRelayAttempts = 5
 )
 
 // Relays finds other instances that relay connections to backend servers, and opens connections
@@ -206,7 +207,7 @@
 		return nil, &peer.CannotRelayError{Reason: "the server is not listed at this address"}
 	}
 	if g.Isolated() {
-		return nil, &peer.CannotRelayError{Reason: "no link to the backend servers"}
+		return nil, &peer.CannotRelayError{Reason: "no link to the backend servers", Isolated: true}
 	}
 	return g.links.open(ctx, upstream.Target{ServerID: serverID, Address: address})
 }
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -62,15 +62,14 @@
 	return g, relays
 }
 
-// Guards against a server that counts as unreachable since one instance does not relay, and against
-// more attempts than the time of a request allows.
-func TestRelayIsTriedThroughTwoInstances(t *testing.T) {
+// Guards against a server that counts as unreachable since one instance does not relay.
+func TestRelayIsTriedThroughOtherInstances(t *testing.T) {
 	for name, c := range map[string]struct {
 		err    error
 		opened []string
 	}{
 		"works":                    {nil, []string{"p1 s1"}},
-		"instance does not answer": {&peer.RelayError{Peer: "p1", Err: errors.New("no answer")}, []string{"p1 s1", "p2 s1"}},
+		"instance does not answer": {&peer.RelayError{Peer: "p1", Err: errors.New("no answer")}, []string{"p1 s1", "p2 s1", "p3 s1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g, relays := newCutGateway(t)
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -27,11 +27,27 @@
 	DialForPeer(ctx context.Context, serverID, address string) (net.Conn, error)
 }
 
-// CannotRelayError reports that an instance does not relay connections to a server.
-type CannotRelayError struct{ Reason string }
+// CannotRelayError reports that an instance does not relay connections to a server, or to any.
+type CannotRelayError struct {
+	Reason   string
+	Isolated bool // the instance has lost its links to all servers
+}
 
 func (e *CannotRelayError) Error() string { return e.Reason }
 
+// relayStatus returns the status of a relay that could not be opened.
+func relayStatus(err error) error {
+	code := codes.FailedPrecondition // see ServerUnreachable
+	var refused *CannotRelayError
+	switch {
+	case errors.As(err, &refused) && refused.Isolated:
+		code = codes.Unavailable // see PeerUnusable
+	case errors.As(err, &refused):
+		code = codes.NotFound
+	}
+	return status.Error(code, err.Error())
+}
+
 // Relay opens a connection to a backend server and copies bytes in both directions until the server
 // closes the connection or the peer leaves.
 func (s *server) Relay(stream grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayReply]) error {
@@ -44,12 +60,7 @@
 	}
 	conn, err := s.service.serverDialer.DialForPeer(stream.Context(), target.GetServerId(), target.GetAddress())
 	if err != nil {
-		code := codes.FailedPrecondition // see ServerUnreachable
-		var refused *CannotRelayError
-		if errors.As(err, &refused) {
-			code = codes.Unavailable
-		}
-		return status.Error(code, err.Error())
+		return relayStatus(err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(stream.Context(), func() { conn.Close() })()
@@ -175,6 +186,9 @@
 
 func (e *RelayError) Error() string { return "relay through peer " + e.Peer + ": " + e.Err.Error() }
 
+// PeerUnusable reports whether the peer was not reached, or is isolated.
+func (e *RelayError) PeerUnusable() bool { return status.Code(e.Err) == codes.Unavailable }
+
 // Unwrap returns the cause.
 func (e *RelayError) Unwrap() error { return e.Err }
 
