fleet: look-ups do not send all callers to a few connected instances

Cause: all callers were sent to the nine instances that kept their links, which also relayed for the others; 1,846 relays were not opened within 0.7 s until second 18, nearly all through six of them (trial).

Change: isolated instances are left out of look-ups only if the load of the others grows to at most three times thereby.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -168,30 +168,39 @@
 	return silent
 }
 
+// maxCarriedLoad is the factor by which the load of instances may grow because isolated ones are left
+// out of look-ups. Fewer instances could not carry the traffic of all.
+const maxCarriedLoad = 3
+
 // SelectAddresses returns up to limit caller addresses of instances that are alive and ready,
-// sorted, for callers in a region. It takes the first of these groups that is not empty: instances
-// of the region with a fresh configuration that are not isolated, all such instances, those of the
-// region with a fresh configuration, all with a fresh configuration, all of the region, all. This
-// instance is included while it is ready.
+// sorted, for callers in a region. It prefers, in this order, instances of the region with a fresh
+// configuration, all with a fresh configuration, all of the region, all. Of the first of these groups
+// with enough instances that are not isolated, see maxCarriedLoad, it returns those; if there is none,
+// it returns the whole first group that is not empty. This instance is included while it is ready.
 func (v *View) SelectAddresses(region string, now time.Time, limit int) []string {
 	alive := v.aliveAndReady(now)
 	if v.dataPath.Ready() {
 		alive = append(alive, sighting{instance: v.self, ready: true, configFresh: v.dataPath.ConfigAge() < v.maxConfigAge, isolated: v.dataPath.Isolated()})
 	}
 	inRegion := func(s sighting) bool { return s.instance.Region == region }
-	for _, accept := range []func(sighting) bool{
-		func(s sighting) bool { return s.configFresh && !s.isolated && inRegion(s) },
-		func(s sighting) bool { return s.configFresh && !s.isolated },
+	groups := []func(sighting) bool{
 		func(s sighting) bool { return s.configFresh && inRegion(s) },
 		func(s sighting) bool { return s.configFresh },
 		inRegion,
-	} {
-		if addresses := matchingAddresses(alive, accept); len(addresses) > 0 {
-			return addresses[:min(len(addresses), limit)]
+		func(sighting) bool { return true },
+	}
+	var first []string
+	for _, accept := range groups {
+		group := matchingAddresses(alive, accept)
+		connected := matchingAddresses(alive, func(s sighting) bool { return accept(s) && !s.isolated })
+		if len(connected) > 0 && len(group) <= maxCarriedLoad*len(connected) {
+			return connected[:min(len(connected), limit)]
+		}
+		if len(first) == 0 {
+			first = group
 		}
 	}
-	addresses := matchingAddresses(alive, func(sighting) bool { return true })
-	return addresses[:min(len(addresses), limit)]
+	return first[:min(len(first), limit)]
 }
 
 // aliveAndReady returns the other instances that are alive and ready.
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// Guards against look-ups that name an isolated instance beside one that is not, or none if all are
-// isolated.
+// Guards against look-ups that name an isolated instance beside one that is not, none if all are
+// isolated, and only a few that cannot carry the traffic of all.
 func TestSelectAddressesPrefersInstancesThatAreNotIsolated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeDataPath{ready: true, version: 1}
@@ -124,6 +124,7 @@
 		v.MergeRequest(isolatedDigest("2", "z2"))
 		must.Eq(t, []string{"c3", "c4"}, selectAddresses())
 		v.MergeRequest(isolatedDigest("3", "z3"))
+		must.Eq(t, []string{"c0", "c1", "c2"}, selectAddresses(), must.Sprint("one of five would carry five times its load"))
 		v.MergeRequest(isolatedDigest("4", "z3"))
 		must.Eq(t, []string{"c0", "c1", "c2"}, selectAddresses())
 		v.MergeRequest(testDigest("1", "z1", 1, 0, false))
