gateway: do not hold a request for relays that are not answered

Since up to five instances are tried, a request could wait for 0.7 s at each of them: 3.5 s. After two that do not answer it goes on to another server. An instance that refuses still costs a round trip only.

Evidence: TestRequestIsNotHeldBySlowRelays; without the change three of the three instances of the test are tried.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -25,6 +25,9 @@
 	// maxRelayAttempts is the number of instances through which a connection is tried. In a large
 	// fleet the news that an instance is isolated takes seconds; it refuses within a round trip.
 	maxRelayAttempts = 5
+	// maxSlowRelays is the number of attempts without an answer within relayTimeout after which the
+	// request goes on without a connection to this server.
+	maxSlowRelays = 2
 )
 
 // Relays finds other instances that relay connections to backend servers, and opens connections
@@ -88,16 +91,20 @@
 	zone, region := l.gateway.serverPlace(t.ServerID)
 	var lastErr error = &NoRelayError{}
 	addresses := l.relays.RelayAddresses(t.ServerID, zone, region, t.Path == upstream.PathRelayedInRegion)
+	slow := 0
 	for _, address := range addresses[:min(len(addresses), maxRelayAttempts)] {
 		relayCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 		conn, err := l.relays.OpenRelay(relayCtx, address, t.ServerID, t.Address)
+		if relayCtx.Err() != nil {
+			slow++
+		}
 		cancel()
 		if err == nil {
 			return conn, nil
 		}
 		lastErr = err
 		var relayErr *peer.RelayError
-		if ctx.Err() != nil || errors.As(err, &relayErr) && relayErr.ServerUnreachable() {
+		if ctx.Err() != nil || slow >= maxSlowRelays || errors.As(err, &relayErr) && relayErr.ServerUnreachable() {
 			break
 		}
 	}
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -22,6 +22,7 @@
 type fakeRelays struct {
 	addresses  []string
 	err        error
+	silent     bool // OpenRelay returns only when its context ends
 	sameRegion []bool
 	opened     []string
 }
@@ -31,8 +32,12 @@
 	return f.addresses
 }
 
-func (f *fakeRelays) OpenRelay(_ context.Context, peerAddress, serverID, _ string) (net.Conn, error) {
+func (f *fakeRelays) OpenRelay(ctx context.Context, peerAddress, serverID, _ string) (net.Conn, error) {
 	f.opened = append(f.opened, peerAddress+" "+serverID)
+	if f.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return nil, f.err
 }
 
@@ -81,6 +86,15 @@
 	}
 }
 
+// Guards against a request that is held while many instances do not answer.
+func TestRequestIsNotHeldBySlowRelays(t *testing.T) {
+	g, relays := newCutGateway(t)
+	relays.silent = true
+	_, err := g.links.open(t.Context(), upstream.Target{ServerID: "s1", Address: "10.0.0.1:80", Path: upstream.PathRelayed})
+	must.Error(t, err)
+	must.Eq(t, []string{"p1 s1", "p2 s1"}, relays.opened)
+}
+
 // Guards against requests that pass through an instance of a region in which they may not be
 // processed.
 func TestRestrictedRequestsAreRelayedInTheServersRegion(t *testing.T) {
