Read of the diff: count the listed servers only after a failed dial

Each dial walked over all servers under the lock of the gateway, although the count matters only where the dial has failed. The decision is the same. The package comment of peer names the relays.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -67,7 +67,10 @@
 	if err != nil && ctx.Err() != nil {
 		return nil, err // says nothing about the server
 	}
-	listed := l.gateway.listedServerCount()
+	listed := 0 // used only with a failure
+	if err != nil {
+		listed = l.gateway.listedServerCount()
+	}
 	l.mu.Lock()
 	suspected, changed := l.detector.RecordDial(attempt, t.ServerID, err == nil, listed)
 	start := suspected && !l.probing
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,7 +2,8 @@
 // gRPC. It is registered with the kernel as the service "peer.grpc".
 //
 // The package only transports messages. Their content is built and interpreted by a
-// Handler.
+// Handler. It also relays connections to backend servers for instances that cannot reach them;
+// a ServerDialer opens these.
 package peer
 
 import (
